Lay the frame: build, checks, base and wire libraries, the reducer's events and effects

Cause: an empty repository; several people are to work on it side by side, so the contracts between the libraries have to stand first.

--- /dev/null
+++ b/libs/base/include/base/log.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace cuminledge {
+
+enum class log_level {
+    Debug,
+    Info,
+    Warning,
+    Error
+};
+
+/// One key=value pair of a log line.
+using log_field = std::pair<std::string_view, std::string_view>;
+
+/**
+ * Sets up the process's log: one line of key=value pairs for each event, on standard error.
+ *
+ * @param process the name that every line carries as process=…
+ * @param level lines below it are dropped.
+ */
+void startLog(const std::string& process, log_level level);
+
+/**
+ * Writes one event: `logEvent(log_level::Info, "key_withdrawn", {{"key", id}, {"account", account}});`
+ * Values with spaces, quotes or line breaks are quoted and escaped, so that a line stays one line.
+ */
+void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields);
+
+/// @return the fields as `event=… key=value …`, without time, level and process.
+std::string formatLogLine(std::string_view event, std::initializer_list<log_field> fields);
+
+/// @return "debug", "info", "warning" or "error".
+const char* toString(log_level level);
+
+} // namespace cuminledge
--- /dev/null
+++ b/libs/wire/include/wire/commands.hpp
@@ -0,0 +1,317 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <wire/codec.hpp>
+
+/// Commands on the replicated state, the reads of it, and their results. A command's effect is decided when it is
+/// applied, in log order, by the same code on every replica; so a command carries all it needs, randomness included.
+namespace cuminledge::wire {
+
+//------------------------------------------------------------------------------------------------------------------
+// Programs (group of the program id)
+//------------------------------------------------------------------------------------------------------------------
+
+struct open_program {
+    std::string program; ///< chosen by the gateway, random: opening again with the same id is a resend
+    std::string account;
+    std::string route;
+    std::int64_t budgetTokens = 0;
+    std::uint32_t maxTurns = 0;
+    std::chrono::milliseconds idleTimeout { 0 };
+    MSGPACK_DEFINE(program, account, route, budgetTokens, maxTurns, idleTimeout)
+};
+
+/// Reserves the worst case of a turn and makes it the program's only turn under way.
+struct begin_turn {
+    std::string program;
+    std::string account;
+    std::uint32_t turn = 0; ///< from 1
+    std::string attempt; ///< names this attempt at the turn fleet-wide
+    std::string requestDigest;
+    std::int64_t deltaTokens = 0; ///< tokens of the new messages
+    std::int64_t maxCompletionTokens = 0;
+    MSGPACK_DEFINE(program, account, turn, attempt, requestDigest, deltaTokens, maxCompletionTokens)
+};
+
+/// Adds the turn to the history and settles its reservation.
+struct commit_turn {
+    std::string program;
+    std::string account;
+    std::uint32_t turn = 0;
+    std::string attempt;
+    std::string delta; ///< the turn's new messages, a JSON list
+    std::string answer; ///< the assistant's message, a JSON object
+    std::string finishReason;
+    std::int64_t promptTokens = 0; ///< whole prompt
+    std::int64_t completionTokens = 0;
+    std::string backend; ///< where it ran; becomes the program's home
+    MSGPACK_DEFINE(program, account, turn, attempt, delta, answer, finishReason, promptTokens, completionTokens, backend)
+};
+
+/// Ends an attempt that produced no answer; what it used is charged, the rest of its reservation is released.
+struct abandon_turn {
+    std::string program;
+    std::string account;
+    std::uint32_t turn = 0;
+    std::string attempt;
+    std::int64_t usedTokens = 0;
+    MSGPACK_DEFINE(program, account, turn, attempt, usedTokens)
+};
+
+struct end_program {
+    std::string program;
+    std::string account; ///< empty: the system itself ends it
+    std::string reason; ///< "caller", "idle", "turn_cap", "operator"
+    MSGPACK_DEFINE(program, account, reason)
+};
+
+//------------------------------------------------------------------------------------------------------------------
+// Non-repeatable calls (group of account + call id)
+//------------------------------------------------------------------------------------------------------------------
+
+enum class call_state : std::uint8_t {
+    Recorded,
+    Dispatched,
+    Done,
+    NotRun,
+    Unknown
+};
+
+/// Made before dispatch. The first record of a call id wins; the same id with another digest is a conflict.
+struct record_call {
+    std::string account;
+    std::string call; ///< the caller's Idempotency-Key
+    std::string program; ///< may be empty
+    std::string service;
+    std::string operation;
+    std::string requestDigest;
+    std::string attempt;
+    MSGPACK_DEFINE(account, call, program, service, operation, requestDigest, attempt)
+};
+
+/// Only the attempt that recorded the call may dispatch it, once.
+struct dispatch_call {
+    std::string account;
+    std::string call;
+    std::string attempt;
+    std::string backend;
+    std::uint64_t backendIncarnation = 0;
+    MSGPACK_DEFINE(account, call, attempt, backend, backendIncarnation)
+};
+
+struct settle_call {
+    std::string account;
+    std::string call;
+    std::string attempt;
+    call_state state = call_state::Unknown;
+    std::uint32_t status = 0; ///< the service's HTTP status, where Done
+    std::string answer;
+    MSGPACK_DEFINE(account, call, attempt, state, status, answer)
+};
+
+//------------------------------------------------------------------------------------------------------------------
+// Rate authority (group of the account)
+//------------------------------------------------------------------------------------------------------------------
+
+/// Reserves tokens ahead of grants: what a lost leader had reserved counts as spent.
+struct reserve_rate {
+    std::string account;
+    std::uint64_t term = 0; ///< of the leader that reserves; an older leader's reservation is refused
+    std::int64_t tokens = 0;
+    MSGPACK_DEFINE(account, term, tokens)
+};
+
+//------------------------------------------------------------------------------------------------------------------
+// Group 0: manifest, keys, backend servers
+//------------------------------------------------------------------------------------------------------------------
+
+struct accept_manifest {
+    std::uint64_t number = 0;
+    std::string digest; ///< SHA-256 of the document
+    std::string document; ///< already validated by the leader
+    MSGPACK_DEFINE(number, digest, document)
+};
+
+/// The key itself never leaves the operator's command: only its salted hash is stored.
+struct issue_key {
+    std::string key; ///< key id, the lookup prefix
+    std::string account;
+    std::string salt;
+    std::string hash; ///< SHA-256 of salt + secret
+    MSGPACK_DEFINE(key, account, salt, hash)
+};
+
+struct withdraw_key {
+    std::string key;
+    MSGPACK_DEFINE(key)
+};
+
+struct drain_backend {
+    std::string backend;
+    bool draining = true;
+    MSGPACK_DEFINE(backend, draining)
+};
+
+/// Gives the sidecar incarnation that orders a backend server its fencing number, higher than every earlier one.
+struct register_orderer {
+    std::string backend;
+    std::uint64_t incarnation = 0;
+    MSGPACK_DEFINE(backend, incarnation)
+};
+
+/// One backend server died while it ran the request with this fingerprint.
+struct report_crash {
+    std::string fingerprint;
+    std::string account;
+    std::string backend;
+    std::uint64_t engineIncarnation = 0; ///< one death counts once
+    MSGPACK_DEFINE(fingerprint, account, backend, engineIncarnation)
+};
+
+/// Clears a suspect (it finished elsewhere) or lifts a quarantine (an operator's order).
+struct clear_fingerprint {
+    std::string fingerprint;
+    bool byOperator = false;
+    MSGPACK_DEFINE(fingerprint, byOperator)
+};
+
+/// Alternatives are only ever appended: log records hold their numbers.
+using command = std::variant<open_program, begin_turn, commit_turn, abandon_turn, end_program, record_call,
+    dispatch_call, settle_call, reserve_rate, accept_manifest, issue_key, withdraw_key, drain_backend,
+    register_orderer, report_crash, clear_fingerprint>;
+
+//------------------------------------------------------------------------------------------------------------------
+// Reads, served by a leader that holds its lease
+//------------------------------------------------------------------------------------------------------------------
+
+struct read_program {
+    std::string program;
+    std::string account; ///< empty: an operator or a sidecar asks
+    MSGPACK_DEFINE(program, account)
+};
+
+struct read_history {
+    std::string program;
+    std::string account; ///< empty: a sidecar asks
+    std::uint32_t fromTurn = 1;
+    MSGPACK_DEFINE(program, account, fromTurn)
+};
+
+struct read_call {
+    std::string account;
+    std::string call;
+    MSGPACK_DEFINE(account, call)
+};
+
+/// Which of these programs have ended or never were? Sidecars ask, to release cache.
+struct read_ended_programs {
+    std::vector<std::string> programs;
+    MSGPACK_DEFINE(programs)
+};
+
+using query = std::variant<read_program, read_history, read_call, read_ended_programs>;
+
+//------------------------------------------------------------------------------------------------------------------
+// Results
+//------------------------------------------------------------------------------------------------------------------
+
+/// The command did what it says and has nothing to tell.
+struct acknowledged {
+    std::uint64_t revision = 0; ///< of the state it changed
+    MSGPACK_DEFINE(revision)
+};
+
+struct refused {
+    std::uint32_t code = 0; ///< error_code
+    std::string message;
+    std::string step;
+    std::string detail; ///< e.g. the digest that holds
+    MSGPACK_DEFINE(code, message, step, detail)
+};
+
+struct program_status {
+    std::string program;
+    std::string account;
+    std::string route;
+    std::string state; ///< "open" or "ended"
+    std::string endReason;
+    std::uint32_t committedTurns = 0;
+    std::uint32_t turnUnderWay = 0; ///< 0: none
+    std::int64_t budgetTokens = 0;
+    std::int64_t usedTokens = 0;
+    std::int64_t reservedTokens = 0;
+    std::int64_t historyTokens = 0;
+    std::string home; ///< backend server of the last committed turn
+    std::uint32_t maxTurns = 0;
+    std::chrono::milliseconds idleTimeout { 0 };
+    MSGPACK_DEFINE(program, account, route, state, endReason, committedTurns, turnUnderWay, budgetTokens, usedTokens,
+        reservedTokens, historyTokens, home, maxTurns, idleTimeout)
+};
+
+/// The attempt may run. Or the turn was committed before: then `committed` and its answer.
+struct turn_begun {
+    bool committed = false;
+    std::string answer;
+    std::string finishReason;
+    std::int64_t promptTokens = 0;
+    std::int64_t completionTokens = 0;
+    std::uint32_t historyTurns = 0;
+    std::int64_t historyTokens = 0;
+    std::int64_t attainedTokens = 0; ///< service the whole program has got so far
+    std::string home;
+    MSGPACK_DEFINE(committed, answer, finishReason, promptTokens, completionTokens, historyTurns, historyTokens,
+        attainedTokens, home)
+};
+
+struct history_turn {
+    std::uint32_t turn = 0;
+    std::string delta;
+    std::string answer;
+    std::int64_t promptTokens = 0;
+    std::int64_t completionTokens = 0;
+    MSGPACK_DEFINE(turn, delta, answer, promptTokens, completionTokens)
+};
+
+struct history {
+    std::string program;
+    std::vector<history_turn> turns;
+    MSGPACK_DEFINE(program, turns)
+};
+
+struct call_status {
+    std::string account;
+    std::string call;
+    call_state state = call_state::Recorded;
+    std::string requestDigest;
+    std::string attempt; ///< the attempt that owns the call
+    std::string service;
+    std::string operation;
+    std::string backend;
+    std::uint64_t backendIncarnation = 0;
+    std::uint32_t status = 0;
+    std::string answer;
+    MSGPACK_DEFINE(account, call, state, requestDigest, attempt, service, operation, backend, backendIncarnation,
+        status, answer)
+};
+
+struct program_list {
+    std::vector<std::string> programs;
+    MSGPACK_DEFINE(programs)
+};
+
+struct fencing_number {
+    std::uint64_t number = 0;
+    MSGPACK_DEFINE(number)
+};
+
+using command_result = std::variant<acknowledged, refused, program_status, turn_begun, history, call_status,
+    program_list, fencing_number>;
+
+} // namespace cuminledge::wire
+
+MSGPACK_ADD_ENUM(cuminledge::wire::call_state);
--- /dev/null
+++ b/libs/wire/include/wire/control_messages.hpp
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <wire/codec.hpp>
+
+/// Messages between gateways or sidecars and the controllers.
+namespace cuminledge::wire {
+
+//------------------------------------------------------------------------------------------------------------------
+// Commands and reads
+//------------------------------------------------------------------------------------------------------------------
+
+struct controller_request {
+    std::uint64_t request = 0; ///< chosen by the asker; echoed back
+    std::uint32_t group = 0;
+    bool isQuery = false;
+    std::string body; ///< encodeVariant(command) or encodeVariant(query)
+    MSGPACK_DEFINE(request, group, isQuery, body)
+};
+
+struct controller_response {
+    std::uint64_t request = 0;
+    std::uint32_t group = 0;
+    bool notLeader = false; ///< ask `leader`, or any other controller where that is empty
+    std::string leader;
+    std::string body; ///< encodeVariant(command_result); a result that is not known to be final is never sent
+    MSGPACK_DEFINE(request, group, notLeader, leader, body)
+};
+
+//------------------------------------------------------------------------------------------------------------------
+// Configuration: what a gateway must know to serve. Answered by the leader of group 0 while it holds its lease.
+//------------------------------------------------------------------------------------------------------------------
+
+struct config_poll {
+    std::uint64_t request = 0;
+    std::uint64_t manifestNumber = 0; ///< what the gateway holds
+    std::uint64_t keyRevision = 0;
+    std::uint64_t membershipEpoch = 0; ///< names the leader's run; versions of another run do not compare
+    std::uint64_t membershipVersion = 0;
+    std::uint64_t quarantineRevision = 0;
+    MSGPACK_DEFINE(request, manifestNumber, keyRevision, membershipEpoch, membershipVersion, quarantineRevision)
+};
+
+struct key_record {
+    std::string key;
+    std::string account;
+    std::string salt;
+    std::string hash;
+    bool withdrawn = false;
+    MSGPACK_DEFINE(key, account, salt, hash, withdrawn)
+};
+
+enum class backend_kind : std::uint8_t {
+    Engine,
+    Service
+};
+
+/// A backend server as its sidecar announces it.
+struct backend_record {
+    std::string backend; ///< id, unique in the fleet
+    std::uint64_t incarnation = 0; ///< of its sidecar; a later start has a higher number
+    std::string sidecarAddress; ///< "IP:PORT"
+    std::string region;
+    std::string failureDomain;
+    backend_kind kind = backend_kind::Engine;
+    std::vector<std::string> models; ///< "model" or "model@version"; for a service: its name
+    std::uint32_t batchLimit = 0;
+    std::int64_t cacheTokens = 0;
+    bool draining = false;
+    bool withdrawn = false; ///< in an update: gone
+    MSGPACK_DEFINE(backend, incarnation, sidecarAddress, region, failureDomain, kind, models, batchLimit, cacheTokens,
+        draining, withdrawn)
+};
+
+struct quarantine_record {
+    std::string fingerprint;
+    std::string account;
+    std::uint32_t deaths = 0;
+    bool quarantined = false;
+    bool cleared = false; ///< in an update: no longer listed
+    MSGPACK_DEFINE(fingerprint, account, deaths, quarantined, cleared)
+};
+
+struct config_update {
+    std::uint64_t request = 0;
+    bool notLeader = false;
+    std::string leader;
+    std::chrono::milliseconds lease { 0 }; ///< counts from when the poll was sent
+    std::uint32_t groupCount = 1; ///< groups 1..groupCount hold programs, calls and accounts
+    std::uint64_t manifestNumber = 0;
+    std::string manifest; ///< only where the gateway's number differs
+    bool keysComplete = false; ///< replaces all keys, rather than adding to them
+    std::uint64_t keyRevision = 0;
+    std::vector<key_record> keys;
+    bool membershipComplete = false;
+    std::uint64_t membershipEpoch = 0;
+    std::uint64_t membershipVersion = 0;
+    std::vector<backend_record> backends;
+    bool quarantineComplete = false;
+    std::uint64_t quarantineRevision = 0;
+    std::vector<quarantine_record> quarantine;
+    MSGPACK_DEFINE(request, notLeader, leader, lease, groupCount, manifestNumber, manifest, keysComplete, keyRevision,
+        keys, membershipComplete, membershipEpoch, membershipVersion, backends, quarantineComplete, quarantineRevision,
+        quarantine)
+};
+
+//------------------------------------------------------------------------------------------------------------------
+// Announcements, under a lease: one that is not renewed lapses
+//------------------------------------------------------------------------------------------------------------------
+
+struct announce_backend {
+    std::uint64_t request = 0;
+    backend_record backend;
+    bool leaving = false; ///< withdraws the announcement at once
+    MSGPACK_DEFINE(request, backend, leaving)
+};
+
+struct announce_response {
+    std::uint64_t request = 0;
+    bool notLeader = false;
+    std::string leader;
+    bool accepted = false;
+    std::string problem; ///< why not, e.g. a later incarnation holds the id
+    std::chrono::milliseconds lease { 0 };
+    std::uint64_t fencingNumber = 0; ///< 0: not yet registered
+    bool drainOrdered = false;
+    std::uint32_t groupCount = 1;
+    MSGPACK_DEFINE(
+        request, notLeader, leader, accepted, problem, lease, fencingNumber, drainOrdered, groupCount)
+};
+
+//------------------------------------------------------------------------------------------------------------------
+// Rate leases, from the leader of the account's group
+//------------------------------------------------------------------------------------------------------------------
+
+struct rate_lease_request {
+    std::uint64_t request = 0;
+    std::uint32_t group = 0;
+    std::string account;
+    std::uint64_t lease = 0; ///< the lease the gateway holds and hands back; 0: none
+    std::int64_t spent = 0; ///< of that lease
+    std::int64_t unspent = 0; ///< of that lease; given back
+    std::int64_t wanted = 0;
+    std::int64_t demandPerSecond = 0; ///< what the gateway has lately seen
+    MSGPACK_DEFINE(request, group, account, lease, spent, unspent, wanted, demandPerSecond)
+};
+
+struct rate_lease_grant {
+    std::uint64_t request = 0;
+    bool notLeader = false;
+    std::string leader;
+    std::string account;
+    std::uint64_t lease = 0;
+    std::int64_t tokens = 0; ///< 0: refused; the account has nothing left
+    std::chrono::milliseconds duration { 0 }; ///< counts from when the request was sent
+    std::chrono::milliseconds retryAfter { 0 }; ///< where refused: when a token will be there
+    MSGPACK_DEFINE(request, notLeader, leader, account, lease, tokens, duration, retryAfter)
+};
+
+} // namespace cuminledge::wire
+
+MSGPACK_ADD_ENUM(cuminledge::wire::backend_kind);
