Add the manifest and the assignment of state to groups

Cause: gateways, controllers and the command line all need the typed manifest and must agree on the group of a key. Change: parseManifest reads the whole document and lists every fault with its JSON path (types, ranges, unknown fields, names used twice, references to unknown client accounts). groupOf spreads programs, calls and accounts by XXH64 over groups 1..N. A route that is open to all names the client account that requests without a key are charged to, so that they spend a bounded rate too.

--- /dev/null
+++ b/libs/core/include/core/manifest/manifest.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include <base/json.hpp>
+
+/// The operators' manifest: client accounts, routes and services. examples/manifest.json shows one.
+namespace cuminledge::core::manifest {
+
+/// A client account, whose rate and burst count across the whole fleet.
+struct client_account {
+    std::string id;
+    double ratePerSecond = 0;
+    std::int64_t burst = 0;
+    double weight = 1; ///< share of the backend servers when they are short, relative to the other accounts
+    std::int64_t budgetTokens = 0; ///< of a program that names no budget; 0: the route's budget
+};
+
+/// Which client accounts may use a route or a service.
+struct account_set {
+    bool all = false;
+    std::vector<std::string> ids; ///< where not all
+};
+
+/// A model, and which of its versions may be used.
+struct model_access {
+    std::string model;
+    std::vector<std::string> versions; ///< empty: any
+};
+
+/// What a program may use, and its bounds.
+struct route {
+    std::string name;
+    bool openToAll = false; ///< served without a key
+    std::string openAccount; ///< open to all: the client account whose rate and share a request without a key spends
+    account_set clientAccounts;
+    std::vector<model_access> models;
+    std::int64_t maxTokens = 0; ///< upper bound, and default, of a call's max_tokens
+    std::int64_t budgetTokens = 0; ///< upper bound of a program's budget
+    std::uint32_t maxTurns = 0;
+    std::chrono::milliseconds idleTimeout { 0 }; ///< upper bound, and default, of a program's
+};
+
+/// One operation of a plain service.
+struct operation {
+    std::string name;
+    bool repeatable = false; ///< false: at most once, under an Idempotency-Key
+    std::chrono::milliseconds timeout { 0 };
+};
+
+/// A plain service, e.g. a ledger.
+struct service {
+    std::string name;
+    account_set clientAccounts;
+    std::vector<operation> operations;
+};
+
+/// A whole manifest that has passed every check.
+struct manifest {
+    std::uint64_t number = 0; ///< grows by each acceptance
+    std::vector<client_account> clientAccounts;
+    std::vector<route> routes;
+    std::vector<service> services;
+};
+
+constexpr std::size_t maxManifestBytes = 4U << 20U;
+constexpr std::size_t maxClientAccounts = 20000;
+constexpr std::size_t maxRoutes = 1000;
+constexpr std::size_t maxServices = 1000;
+constexpr std::size_t maxOperations = 1000; ///< of one service
+constexpr std::size_t maxModels = 1000; ///< of one route
+constexpr std::size_t maxNameBytes = 64; ///< of every id and name
+
+/**
+ * Reads and checks a manifest: types, ranges, unknown fields, names used twice, references to unknown accounts.
+ *
+ * @param text the JSON document, at most maxManifestBytes.
+ * @return the manifest, or every fault found, each with its JSON path (at least one).
+ */
+tl::expected<manifest, std::vector<json_fault>> parseManifest(std::string_view text);
+
+/// @return the client account, or null.
+const client_account* findAccount(const manifest& m, std::string_view id);
+
+/// @return the route, or null.
+const route* findRoute(const manifest& m, std::string_view name);
+
+/// @return the service, or null.
+const service* findService(const manifest& m, std::string_view name);
+
+/// @return the operation, or null.
+const operation* findOperation(const service& s, std::string_view name);
+
+/// @return whether the client account belongs to the set.
+bool contains(const account_set& accounts, std::string_view account);
+
+/// @return whether the route allows a model given as "MODEL" or "MODEL@VERSION".
+bool allowsModel(const route& r, std::string_view modelAndVersion);
+
+/**
+ * What a backend server must announce to run a request for `requested` on the route.
+ *
+ * @param requested, announced "MODEL" or "MODEL@VERSION".
+ * @return whether the announced model is the one asked for, in a version that the route allows.
+ */
+bool servesModel(const route& r, std::string_view requested, std::string_view announced);
+
+} // namespace cuminledge::core::manifest
--- /dev/null
+++ b/libs/core/src/store/group.cpp
@@ -0,0 +1,82 @@
+#include <core/store/group.hpp>
+
+#include <cassert>
+#include <string>
+#include <type_traits>
+#include <variant>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace cuminledge::core::store {
+
+namespace {
+
+    template <typename Command>
+    constexpr bool isProgramCommand = std::is_same_v<Command, wire::open_program> || std::is_same_v<Command, wire::begin_turn> || std::is_same_v<Command, wire::commit_turn> || std::is_same_v<Command, wire::abandon_turn> || std::is_same_v<Command, wire::end_program>;
+
+    template <typename Command>
+    constexpr bool isCallCommand = std::is_same_v<Command, wire::record_call> || std::is_same_v<Command, wire::dispatch_call> || std::is_same_v<Command, wire::settle_call>;
+
+} // namespace
+
+std::uint32_t groupOf(std::string_view key, std::uint32_t groupCount)
+{
+    assert(groupCount > 0);
+    return 1 + static_cast<std::uint32_t>(XXH64(key.data(), key.size(), 0) % groupCount);
+}
+
+std::uint32_t groupOfProgram(std::string_view program, std::uint32_t groupCount)
+{
+    return groupOf(program, groupCount);
+}
+
+std::uint32_t groupOfCall(std::string_view account, std::string_view call, std::uint32_t groupCount)
+{
+    // The separator can't stand in an account id, so that no two pairs give the same key.
+    std::string key(account);
+    key += '\n';
+    key += call;
+    return groupOf(key, groupCount);
+}
+
+std::uint32_t groupOfAccount(std::string_view account, std::uint32_t groupCount)
+{
+    return groupOf(account, groupCount);
+}
+
+std::uint32_t groupOf(const wire::command& command, std::uint32_t groupCount)
+{
+    return std::visit(
+        [groupCount](const auto& alternative) -> std::uint32_t {
+            using type = std::decay_t<decltype(alternative)>;
+            if constexpr (isProgramCommand<type>) {
+                return groupOfProgram(alternative.program, groupCount);
+            } else if constexpr (isCallCommand<type>) {
+                return groupOfCall(alternative.account, alternative.call, groupCount);
+            } else if constexpr (std::is_same_v<type, wire::reserve_rate>) {
+                return groupOfAccount(alternative.account, groupCount);
+            } else {
+                return controlGroup;
+            }
+        },
+        command);
+}
+
+std::uint32_t groupOf(const wire::query& query, std::uint32_t groupCount)
+{
+    return std::visit(
+        [groupCount](const auto& alternative) -> std::uint32_t {
+            using type = std::decay_t<decltype(alternative)>;
+            if constexpr (std::is_same_v<type, wire::read_call>) {
+                return groupOfCall(alternative.account, alternative.call, groupCount);
+            } else if constexpr (std::is_same_v<type, wire::read_ended_programs>) {
+                return alternative.programs.empty() ? 1 : groupOfProgram(alternative.programs.front(), groupCount);
+            } else {
+                return groupOfProgram(alternative.program, groupCount);
+            }
+        },
+        query);
+}
+
+} // namespace cuminledge::core::store
