--- a/libs/wire/include/wire/control_messages.hpp
+++ b/libs/wire/include/wire/control_messages.hpp
@@ -72,8 +72,9 @@
     std::int64_t cacheTokens = 0;
     bool draining = false;
     bool withdrawn = false; ///< in an update: gone
+    std::string sidecar; ///< name of the sidecar's process, as in its hello
     MSGPACK_DEFINE(backend, incarnation, sidecarAddress, region, failureDomain, kind, models, batchLimit, cacheTokens,
-        draining, withdrawn)
+        draining, withdrawn, sidecar)
 };
 
 struct quarantine_record {
