Place programs, calls and accounts by one hash

Cause: two headers placed state in groups, by different hashes (FNV-1a and XXH64); two processes that disagree would look for a program in the wrong group. Change: core/group.hpp stays, on XXH64; store/group.hpp keeps only the group of a whole command or query.

--- a/libs/core/src/store/group.cpp
+++ b/libs/core/src/store/group.cpp
@@ -1,13 +1,8 @@
 #include <core/store/group.hpp>
 
-#include <cassert>
-#include <string>
 #include <type_traits>
 #include <variant>
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 namespace cuminledge::core::store {
 
 namespace {
@@ -20,31 +15,6 @@
 
 } // namespace
 
-std::uint32_t groupOf(std::string_view key, std::uint32_t groupCount)
-{
-    assert(groupCount > 0);
-    return 1 + static_cast<std::uint32_t>(XXH64(key.data(), key.size(), 0) % groupCount);
-}
-
-std::uint32_t groupOfProgram(std::string_view program, std::uint32_t groupCount)
-{
-    return groupOf(program, groupCount);
-}
-
-std::uint32_t groupOfCall(std::string_view account, std::string_view call, std::uint32_t groupCount)
-{
-    // The separator can't stand in an account id, so that no two pairs give the same key.
-    std::string key(account);
-    key += '\n';
-    key += call;
-    return groupOf(key, groupCount);
-}
-
-std::uint32_t groupOfAccount(std::string_view account, std::uint32_t groupCount)
-{
-    return groupOf(account, groupCount);
-}
-
 std::uint32_t groupOf(const wire::command& command, std::uint32_t groupCount)
 {
     return std::visit(
@@ -57,7 +27,7 @@
             } else if constexpr (std::is_same_v<type, wire::reserve_rate>) {
                 return groupOfAccount(alternative.account, groupCount);
             } else {
-                return controlGroup;
+                return systemGroup;
             }
         },
         command);
