--- /dev/null
+++ b/libs/core/src/consensus/replication.cpp
@@ -0,0 +1,305 @@
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "internal.hpp"
+
+namespace cuminledge::core::consensus {
+
+constexpr int unansweredHeartbeats = 3;
+
+//------------------------------------------------------------------------------------------------------------------
+// Lease
+//------------------------------------------------------------------------------------------------------------------
+
+std::uint64_t nextRound(replica& r, time_point now)
+{
+    if (r.rounds.empty() || r.rounds.back().sentAt != now) {
+        r.rounds.push_back({ ++r.round, now });
+    }
+    while (r.rounds.front().sentAt + r.settings.electionTimeoutMax < now) {
+        r.rounds.pop_front();
+    }
+    return r.round;
+}
+
+void noteAnswer(replica& r, follower_progress& p, std::uint64_t round, time_point now)
+{
+    p.lastAnswer = now;
+    const auto found = std::lower_bound(r.rounds.begin(), r.rounds.end(), round,
+        [](const round_start& start, std::uint64_t number) { return start.round < number; });
+    if (found != r.rounds.end() && found->round == round) {
+        p.ackedRoundStart = std::max(p.ackedRoundStart, found->sentAt);
+    }
+}
+
+/// @return when the newest request was sent that a quorum has answered.
+static time_point quorumAcked(const replica& r, time_point now)
+{
+    std::vector<time_point> times;
+    for (const auto& id : configurationOf(r).members) {
+        const auto found = r.followers.find(id);
+        times.push_back(id == r.id ? now : found == r.followers.end() ? time_point {}
+                                                                      : found->second.ackedRoundStart);
+    }
+    std::sort(times.begin(), times.end(), std::greater<>());
+    return times.at(quorumOf(configurationOf(r)) - 1);
+}
+
+time_point quorumContact(const replica& r, time_point now)
+{
+    return std::max(r.leadingSince, quorumAcked(r, now));
+}
+
+bool mayRead(const replica& r, time_point now)
+{
+    if (!isLeader(r) || r.commitIndex < r.barrierIndex) {
+        return false;
+    }
+    return !r.guards.leaderLease || now < quorumAcked(r, now) + leaseDuration(r.settings);
+}
+
+//------------------------------------------------------------------------------------------------------------------
+// Leader
+//------------------------------------------------------------------------------------------------------------------
+
+static wire::append_request makeAppend(replica& r, const follower_progress& p, time_point now)
+{
+    wire::append_request request;
+    request.term = r.term;
+    request.previousIndex = p.nextIndex - 1;
+    request.previousTerm = termAt(r, p.nextIndex - 1).value();
+    request.commitIndex = r.commitIndex;
+    request.round = nextRound(r, now);
+    std::size_t bytes = 0;
+    for (auto i = p.nextIndex; i <= lastIndex(r) && request.entries.size() < r.settings.maxEntriesPerAppend; ++i) {
+        const auto& entry = entryAt(r, i);
+        bytes += entry.payload.size();
+        if (bytes > r.settings.maxBytesPerAppend && !request.entries.empty()) {
+            break;
+        }
+        request.entries.push_back(entry);
+    }
+    return request;
+}
+
+static bool needsSnapshot(const replica& r, const follower_progress& p)
+{
+    return p.nextIndex < r.log.firstIndex;
+}
+
+static void sendAppend(replica& r, const std::string& id, follower_progress& p, time_point now, replica_output& out)
+{
+    auto request = makeAppend(r, p, now);
+    if (!request.entries.empty()) {
+        p.nextIndex = request.entries.back().index + 1;
+        p.inFlight.push_back(request.entries.back().index);
+    }
+    ++r.counters.appendsSent;
+    sendNow(r, id, std::move(request), out);
+}
+
+void sendEntries(replica& r, const std::string& id, follower_progress& p, time_point now, replica_output& out)
+{
+    if (needsSnapshot(r, p)) {
+        if (p.snapshotIndex == 0) {
+            sendSnapshotChunk(r, id, p, now, out);
+        }
+        return;
+    }
+    while (p.nextIndex <= lastIndex(r) && p.inFlight.size() < r.settings.maxAppendsInFlight) {
+        sendAppend(r, id, p, now, out);
+    }
+}
+
+void replicate(replica& r, time_point now, replica_output& out)
+{
+    for (auto& [id, p] : r.followers) {
+        sendEntries(r, id, p, now, out);
+    }
+}
+
+static void sendHeartbeat(replica& r, const std::string& id, follower_progress& p, time_point now, replica_output& out)
+{
+    const bool isOverdue = now - p.lastProgress > unansweredHeartbeats * r.settings.heartbeatInterval;
+    if (isOverdue) {
+        p.lastProgress = now;
+        p.inFlight.clear();
+        if (p.matchIndex > 0) {
+            p.nextIndex = p.matchIndex + 1;
+        }
+    }
+    if (needsSnapshot(r, p)) {
+        if (isOverdue || p.snapshotIndex == 0) {
+            sendSnapshotChunk(r, id, p, now, out);
+        }
+        return;
+    }
+    p.snapshotIndex = 0;
+    if (p.nextIndex <= lastIndex(r) && p.inFlight.size() < r.settings.maxAppendsInFlight) {
+        sendEntries(r, id, p, now, out);
+        return;
+    }
+    sendAppend(r, id, p, now, out);
+}
+
+void sendHeartbeats(replica& r, time_point now, replica_output& out)
+{
+    r.lastHeartbeat = now;
+    for (auto& [id, p] : r.followers) {
+        sendHeartbeat(r, id, p, now, out);
+    }
+}
+
+void leaderTick(replica& r, time_point now, replica_output& out)
+{
+    if (r.guards.checkQuorum && now - quorumContact(r, now) > r.settings.electionTimeoutMax) {
+        becomeFollower(r, r.term, {}, out);
+        return;
+    }
+    if (now - r.lastHeartbeat >= r.settings.heartbeatInterval) {
+        sendHeartbeats(r, now, out);
+        advanceMembership(r, now, out);
+        r.commitAtHeartbeat = r.commitIndex;
+    }
+}
+
+void commitByQuorum(replica& r, replica_output& out)
+{
+    std::vector<std::uint64_t> indexes;
+    for (const auto& id : configurationOf(r).members) {
+        const auto found = r.followers.find(id);
+        const std::uint64_t own = r.guards.holdUntilPersisted ? r.durableIndex : lastIndex(r);
+        indexes.push_back(id == r.id ? own : found == r.followers.end() ? 0
+                                                                        : found->second.matchIndex);
+    }
+    std::sort(indexes.begin(), indexes.end(), std::greater<>());
+    const std::uint64_t index = indexes.at(quorumOf(configurationOf(r)) - 1);
+    if (index > r.commitIndex && termAt(r, index) == r.term) {
+        commitUpTo(r, index, out);
+    }
+}
+
+static void noteMatch(follower_progress& p, std::uint64_t matchIndex, time_point now)
+{
+    if (matchIndex > p.matchIndex) {
+        p.matchIndex = matchIndex;
+        p.lastProgress = now;
+    }
+    p.nextIndex = std::max(p.nextIndex, p.matchIndex + 1);
+    while (!p.inFlight.empty() && p.inFlight.front() <= p.matchIndex) {
+        p.inFlight.pop_front();
+    }
+    if (p.inFlight.empty()) {
+        p.lastProgress = now;
+    }
+}
+
+void handle(replica& r, const std::string& from, const wire::append_response& m, time_point now, replica_output& out)
+{
+    if (m.term > r.term) {
+        becomeFollower(r, m.term, {}, out);
+        return;
+    }
+    const auto found = r.followers.find(from);
+    if (!isLeader(r) || m.term != r.term || found == r.followers.end()) {
+        return;
+    }
+    if (m.matchIndex > lastIndex(r)) {
+        ++r.counters.messagesInvalid;
+        return;
+    }
+    auto& p = found->second;
+    noteAnswer(r, p, m.round, now);
+    if (m.accepted) {
+        noteMatch(p, m.matchIndex, now);
+        commitByQuorum(r, out);
+    } else if (m.matchIndex + 1 < p.nextIndex) {
+        // An older refusal that arrives late names an index that was tried already.
+        p.nextIndex = std::max(p.matchIndex, m.matchIndex) + 1;
+        p.inFlight.clear();
+        p.lastProgress = now;
+    }
+    sendEntries(r, from, p, now, out);
+}
+
+//------------------------------------------------------------------------------------------------------------------
+// Follower
+//------------------------------------------------------------------------------------------------------------------
+
+bool acceptLeader(replica& r, const std::string& from, std::uint64_t term, time_point now, replica_output& out)
+{
+    if (term < r.term) {
+        return false;
+    }
+    if (term > r.term || r.role != replica_role::Follower || r.leader != from) {
+        becomeFollower(r, term, from, out);
+    }
+    r.lastLeaderContact = now;
+    r.electionDeadlineSet = false;
+    return true;
+}
+
+/// @return where the leader should go on: before the conflicting term (Raft, 5.3), but not before what is committed.
+static std::uint64_t conflictHint(const replica& r, const wire::append_request& m)
+{
+    if (m.previousIndex > lastIndex(r)) {
+        return lastIndex(r);
+    }
+    std::uint64_t index = m.previousIndex;
+    const auto conflicting = termAt(r, index);
+    while (index > r.commitIndex && termAt(r, index) == conflicting) {
+        --index;
+    }
+    return index;
+}
+
+static void storeEntries(replica& r, const std::vector<wire::log_entry>& entries)
+{
+    for (const auto& entry : entries) {
+        if (entry.index < r.log.firstIndex || termAt(r, entry.index) == entry.term) {
+            continue;
+        }
+        if (entry.index <= lastIndex(r)) {
+            truncateLog(r, entry.index);
+        }
+        appendEntry(r, entry);
+    }
+}
+
+/// @return whether the request could come from a leader: consecutive indexes, nothing that differs from what is
+///         committed, configurations that can be read.
+static bool isWellFormed(const replica& r, const wire::append_request& m)
+{
+    std::uint64_t expected = m.previousIndex;
+    return std::all_of(m.entries.begin(), m.entries.end(), [&](const auto& entry) {
+        const bool isOrdered = entry.index == ++expected && entry.term <= m.term;
+        const bool isCommitted = entry.index <= r.commitIndex;
+        return isOrdered && isReadable(entry) && (!isCommitted || termAt(r, entry.index).value_or(entry.term) == entry.term);
+    });
+}
+
+void handle(replica& r, const std::string& from, const wire::append_request& m, time_point now, replica_output& out)
+{
+    if (!isWellFormed(r, m)) {
+        ++r.counters.messagesInvalid;
+        return;
+    }
+    if (!acceptLeader(r, from, m.term, now, out)) {
+        sendNow(r, from, wire::append_response { r.term, false, 0, m.round }, out);
+        return;
+    }
+    // What is committed equals the leader's log, so a request that starts there always fits.
+    const bool fits = m.previousIndex <= r.commitIndex || termAt(r, m.previousIndex) == m.previousTerm;
+    if (!fits) {
+        ++r.counters.appendsRefused;
+        sendWhenDurable(r, from, wire::append_response { r.term, false, conflictHint(r, m), m.round }, out);
+        return;
+    }
+    const std::uint64_t match = std::max(m.previousIndex + m.entries.size(), r.commitIndex);
+    storeEntries(r, m.entries);
+    commitUpTo(r, std::max(r.commitIndex, std::min(m.commitIndex, match)), out);
+    sendWhenDurable(r, from, wire::append_response { r.term, true, match, m.round }, out);
+}
+
+} // namespace cuminledge::core::consensus
--- a/libs/wire/include/wire/consensus_messages.hpp
+++ b/libs/wire/include/wire/consensus_messages.hpp
@@ -30,7 +30,8 @@
     std::uint64_t lastIndex = 0;
     std::uint64_t lastTerm = 0;
     bool preVote = false;
-    MSGPACK_DEFINE(term, lastIndex, lastTerm, preVote)
+    bool transfer = false; ///< the leader itself asked for this election and has given up its lease
+    MSGPACK_DEFINE(term, lastIndex, lastTerm, preVote, transfer)
 };
 
 struct vote_response {
@@ -81,15 +82,43 @@
     MSGPACK_DEFINE(term, lastIndex, nextOffset, installed, round)
 };
 
+/// Who belongs to a group: payload of a Configuration entry, and part of a snapshot. Names are replica ids.
+struct group_configuration {
+    std::vector<std::string> members; ///< vote and count towards a quorum
+    std::vector<std::string> learners; ///< get the log, but don't count yet
+    MSGPACK_DEFINE(members, learners)
+};
+
+/**
+ * Sent by a replica that belongs to no configuration it knows of. To other replicas that hold nothing it is a step of
+ * forming a new group; to a leader it is the request to be added as a learner.
+ */
+struct join_request {
+    bool isBlank = true; ///< the sender holds no term, vote or log
+    MSGPACK_DEFINE(isBlank)
+};
+
+/// Answers a join_request.
+struct join_response {
+    bool isBlank = false; ///< the answering replica holds no term, vote or log
+    MSGPACK_DEFINE(isBlank)
+};
+
+/// From a leader that has given up its leadership: the receiver starts an election without waiting for its timeout.
+struct timeout_now {
+    std::uint64_t term = 0;
+    MSGPACK_DEFINE(term)
+};
+
 /// Alternatives are only ever appended.
-using consensus_message
-    = std::variant<vote_request, vote_response, append_request, append_response, snapshot_chunk, snapshot_response>;
+using consensus_message = std::variant<vote_request, vote_response, append_request, append_response, snapshot_chunk,
+    snapshot_response, join_request, join_response, timeout_now>;
 
 /// A consensus message with its addresses.
 struct consensus_envelope {
     std::uint32_t group = 0;
-    std::string from; ///< replica id: controller name and incarnation of its disk
-    std::string to;
+    std::string from; ///< replica id: "CONTROLLER#DISK_INCARNATION"
+    std::string to; ///< replica id; for a join_request the controller's name alone
     std::string body; ///< encodeVariant(consensus_message)
     MSGPACK_DEFINE(group, from, to, body)
 };
