net: HTTP server

After closeListener() idle connections stay for drainIdleTime, so that a request already on its way is served.

--- a/libs/net/include/net/http_server.hpp
+++ b/libs/net/include/net/http_server.hpp
@@ -78,7 +78,7 @@
     result<std::uint16_t> listen();
 
     /// Sends the whole answer and ends the exchange.
-    void reply(std::uint64_t exchange, http_reply reply);
+    void reply(std::uint64_t exchange, const http_reply& reply);
 
     /// Starts an answer of type text/event-stream with status 200.
     void beginStream(std::uint64_t exchange, const header_list& headers);
--- /dev/null
+++ b/libs/net/src/http_server.cpp
@@ -0,0 +1,274 @@
+#include <net/http_server.hpp>
+
+#include <unordered_map>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "address.hpp"
+#include "http_session.hpp"
+
+namespace cuminledge::net {
+
+namespace {
+
+    constexpr unsigned listenerShift = 56;
+
+} // namespace
+
+/// The listener. Sessions hold it alive while their handlers run, and tell it of each exchange by session_owner.
+class http_server::impl final : public session_owner, public std::enable_shared_from_this<http_server::impl> {
+public:
+    impl(boost::asio::io_context& context, http_server_settings settings, http_server_handlers handlers)
+        : m_context(context)
+        , m_acceptor(context)
+        , m_settings(std::move(settings))
+        , m_handlers(std::move(handlers))
+    {
+    }
+
+    result<std::uint16_t> listen()
+    {
+        const auto endpoint = parseAddress(m_settings.address, "listen");
+        if (!endpoint) {
+            return tl::unexpected<error>(endpoint.error());
+        }
+        boost::system::error_code problem;
+        m_acceptor.open(endpoint->protocol(), problem);
+        if (!problem) {
+            m_acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true), problem);
+        }
+        if (!problem) {
+            m_acceptor.bind(*endpoint, problem);
+        }
+        if (!problem) {
+            m_acceptor.listen(boost::asio::socket_base::max_listen_connections, problem);
+        }
+        if (problem) {
+            return failure(error_code::Unavailable, problem.message(), "listen", m_settings.address);
+        }
+        accept();
+        return m_acceptor.local_endpoint().port();
+    }
+
+    void stop()
+    {
+        m_stopped = true;
+        closeAcceptor();
+        const auto sessions = std::exchange(m_sessions, {});
+        for (const auto& [connection, session] : sessions) {
+            session->close();
+        }
+        m_exchanges.clear();
+    }
+
+    http_session* find(std::uint64_t exchange)
+    {
+        const auto found = m_exchanges.find(exchange);
+        return found == m_exchanges.end() ? nullptr : found->second.get();
+    }
+
+    void closeTagged(const std::string& key)
+    {
+        const auto sessions = m_sessions;
+        for (const auto& [connection, session] : sessions) {
+            if (session->tag() == key) {
+                session->closeAfterAnswer();
+            }
+        }
+    }
+
+    void closeListener()
+    {
+        m_draining = true;
+        closeAcceptor();
+        const auto sessions = m_sessions;
+        for (const auto& [connection, session] : sessions) {
+            session->drain();
+        }
+    }
+
+    [[nodiscard]] http_server_counts counts() const
+    {
+        http_server_counts counts = m_counts;
+        counts.connections = m_sessions.size();
+        counts.exchanges = m_exchanges.size();
+        for (const auto& [connection, session] : m_sessions) {
+            counts.sendBufferBytes += session->sendBufferBytes();
+        }
+        return counts;
+    }
+
+    // session_owner
+
+    const http_server_settings& settings() const override { return m_settings; }
+
+    http_server_counts& tally() override { return m_counts; }
+
+    bool draining() const override { return m_draining; }
+
+    std::uint64_t beginExchange(std::uint64_t connection) override
+    {
+        const std::uint64_t exchange = (std::uint64_t { m_settings.listener } << listenerShift) | ++m_lastExchange;
+        m_exchanges.emplace(exchange, m_sessions.at(connection));
+        return exchange;
+    }
+
+    void deliver(http_request&& request) override
+    {
+        ++m_counts.requests;
+        m_handlers.onRequest(std::move(request));
+    }
+
+    void endExchange(std::uint64_t exchange) override { m_exchanges.erase(exchange); }
+
+    void loseExchange(std::uint64_t exchange, const std::string& reason) override
+    {
+        if (m_exchanges.erase(exchange) != 0 && !m_stopped) {
+            ++m_counts.gone;
+            m_handlers.onGone(exchange, reason);
+        }
+    }
+
+    void endSession(std::uint64_t connection) override { m_sessions.erase(connection); }
+
+private:
+    void closeAcceptor()
+    {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept([self = shared_from_this()](auto problem, boost::asio::ip::tcp::socket socket) {
+            if (!self->m_acceptor.is_open()) {
+                return;
+            }
+            if (!problem) {
+                self->startSession(std::move(socket));
+                self->accept();
+                return;
+            }
+            self->retryAccept();
+        });
+    }
+
+    /// Out of file descriptors, mostly: accepting again at once would spin.
+    void retryAccept()
+    {
+        constexpr auto pause = std::chrono::milliseconds(50);
+        m_acceptPause.expires_after(pause);
+        m_acceptPause.async_wait([self = shared_from_this()](auto cancelled) {
+            if (!cancelled && self->m_acceptor.is_open()) {
+                self->accept();
+            }
+        });
+    }
+
+    void startSession(boost::asio::ip::tcp::socket socket)
+    {
+        if (m_sessions.size() >= m_settings.maxConnections) {
+            ++m_counts.refusedConnections;
+            return;
+        }
+        ++m_counts.accepted;
+        const std::uint64_t connection = ++m_lastConnection;
+        auto session = std::make_shared<http_session>(std::move(socket), connection, shared_from_this());
+        m_sessions.emplace(connection, session);
+        session->start();
+    }
+
+    boost::asio::io_context& m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_acceptPause { m_context };
+    http_server_settings m_settings;
+    http_server_handlers m_handlers;
+    http_server_counts m_counts;
+    bool m_draining = false;
+    bool m_stopped = false;
+    std::uint64_t m_lastConnection = 0;
+    std::uint64_t m_lastExchange = 0;
+    std::unordered_map<std::uint64_t, std::shared_ptr<http_session>> m_sessions;
+    std::unordered_map<std::uint64_t, std::shared_ptr<http_session>> m_exchanges;
+};
+
+//------------------------------------------------------------------------------------------------------------------
+// http_server
+//------------------------------------------------------------------------------------------------------------------
+
+http_server::http_server(
+    boost::asio::io_context& context, http_server_settings settings, http_server_handlers handlers)
+    : m_impl(std::make_shared<impl>(context, std::move(settings), std::move(handlers)))
+{
+}
+
+http_server::~http_server()
+{
+    m_impl->stop();
+}
+
+result<std::uint16_t> http_server::listen()
+{
+    return m_impl->listen();
+}
+
+void http_server::reply(std::uint64_t exchange, const http_reply& reply)
+{
+    if (auto* session = m_impl->find(exchange)) {
+        session->reply(reply);
+    }
+}
+
+void http_server::beginStream(std::uint64_t exchange, const header_list& headers)
+{
+    if (auto* session = m_impl->find(exchange)) {
+        session->beginStream(headers);
+    }
+}
+
+void http_server::streamEvent(std::uint64_t exchange, std::string_view data)
+{
+    if (auto* session = m_impl->find(exchange)) {
+        session->streamEvent(data);
+    }
+}
+
+void http_server::endStream(std::uint64_t exchange)
+{
+    if (auto* session = m_impl->find(exchange)) {
+        session->endStream();
+    }
+}
+
+void http_server::abort(std::uint64_t exchange)
+{
+    if (auto* session = m_impl->find(exchange)) {
+        session->abort();
+    }
+}
+
+void http_server::tagConnection(std::uint64_t exchange, const std::string& key)
+{
+    if (auto* session = m_impl->find(exchange)) {
+        session->setTag(key);
+    }
+}
+
+void http_server::closeTagged(const std::string& key)
+{
+    m_impl->closeTagged(key);
+}
+
+void http_server::closeListener()
+{
+    m_impl->closeListener();
+}
+
+http_server_counts http_server::counts() const
+{
+    return m_impl->counts();
+}
+
+} // namespace cuminledge::net
