--- /dev/null
+++ b/libs/core/include/core/routing/backend_table.hpp
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include <base/clock.hpp>
+#include <wire/attempt_messages.hpp>
+#include <wire/control_messages.hpp>
+
+/// What a gateway knows about backend servers, and which one gets an attempt.
+namespace cuminledge::core::routing {
+
+/// Index of a backend server's row. Rows of servers that left are used again.
+using backend_index = std::uint32_t;
+constexpr backend_index noBackend = 0xffffffffU;
+
+/// All that a routing decision reads about one backend server.
+struct backend_row {
+    time_point reportedAt {}; ///< of the last load report
+    time_point slowStartFrom {}; ///< when it joined or came back
+    time_point ejectedUntil {};
+    float prefillTokensPerSecond = 0; ///< 0: not known yet
+    float decodeTokensPerSecond = 0; ///< of one sequence; 0: not known yet
+    float waitingPrefillTokens = 0; ///< as last reported
+    float ownPrefillSinceReport = 0; ///< of attempts this gateway sent after the last report
+    std::uint16_t running = 0; ///< as last reported
+    std::uint16_t waiting = 0; ///< as last reported
+    std::uint16_t ownSinceReport = 0; ///< attempts this gateway sent after the last report
+    std::uint16_t ownInFlight = 0;
+    std::uint16_t batchLimit = 1;
+    std::uint16_t failureDomain = 0; ///< number in backend_table::places
+    std::uint16_t region = 0;
+    std::uint8_t consecutiveFailures = 0;
+    std::uint8_t ejections = 0;
+    bool draining = false;
+    bool inUse = false;
+    bool isService = false;
+};
+
+/// The parts of a row that no decision reads.
+struct backend_detail {
+    std::string backend;
+    std::string sidecarAddress;
+    std::uint64_t incarnation = 0;
+    std::vector<std::string> models;
+    std::int64_t cacheTokens = 0;
+};
+
+struct routing_settings {
+    bool useHome = true;
+    bool useOwnInFlight = true;
+    bool useSlowStart = true;
+    bool useEjection = true;
+    bool useTransfer = true;
+    bool preferOwnFailureDomain = true;
+    std::uint32_t randomCandidates = 2; ///< 0: every server is a candidate
+    std::chrono::milliseconds slowStart { 10'000 };
+    std::uint8_t failuresBeforeEjection = 3;
+    std::chrono::milliseconds ejection { 5'000 }; ///< doubles with each further ejection, at most five times
+    double maxEjectedShare = 0.34; ///< of the servers of a model
+    std::chrono::milliseconds spillover { 50 }; ///< predicted queue that lets the next wider place be tried
+    float defaultPrefillTokensPerSecond = 8'000;
+    float defaultDecodeTokensPerSecond = 40;
+    double transferTokensPerSecond = 100'000; ///< KV cache copied between backend servers
+    std::chrono::milliseconds transferSetup { 20 };
+};
+
+/// The servers of one model in one failure domain.
+struct place_members {
+    std::uint16_t failureDomain = 0;
+    std::uint16_t region = 0;
+    std::vector<backend_index> rows;
+};
+
+/**
+ * One compact row for each backend server, and an index by model and failure domain.
+ *
+ * Filled by applyMembership(), kept fresh by the on…() functions, read by chooseBackend(). Its size is bounded by the
+ * membership: the rows of servers that left are used again.
+ */
+struct backend_table {
+    routing_settings settings;
+    std::uint16_t ownFailureDomain = 0;
+    std::uint16_t ownRegion = 0;
+    std::vector<backend_row> rows;
+    std::vector<backend_detail> details; ///< same index as rows
+    std::vector<backend_index> freeRows;
+    std::unordered_map<std::string, backend_index> byId;
+    std::unordered_map<std::string, std::vector<place_members>> byModel;
+    std::map<std::string, std::uint16_t> places; ///< numbers of failure domains and regions
+    std::uint64_t decisions = 0;
+    std::uint64_t noneFound = 0;
+    std::uint64_t ejectionCount = 0;
+};
+
+/// @param region, failureDomain where the gateway itself runs.
+backend_table makeBackendTable(
+    const std::string& region, const std::string& failureDomain, const routing_settings& settings = {});
+
+/**
+ * Applies an update of the membership.
+ *
+ * @param complete the records are all there are: servers not among them are gone.
+ */
+void applyMembership(
+    backend_table& table, const std::vector<wire::backend_record>& records, bool complete, time_point now);
+
+/// @return the row's index, or noBackend.
+backend_index findBackend(const backend_table& table, const std::string& backend);
+
+/// An attempt is being sent there. @param prefillTokens what the server has to prefill for it.
+void onAttemptStarted(backend_table& table, const std::string& backend, std::int64_t prefillTokens);
+
+/// An attempt there ended well.
+void onAttemptFinished(backend_table& table, const std::string& backend);
+
+/// An attempt there failed through the server's fault (lost connection, death, timeout).
+void onAttemptFailed(backend_table& table, const std::string& backend, time_point now);
+
+/// An attempt there ended with no fault of the server: cancelled, or refused as not run.
+void onAttemptDropped(backend_table& table, const std::string& backend);
+
+/// A load report of that server came, on an answer or on a probe.
+void onLoadReport(backend_table& table, const std::string& backend, const wire::load_report& report, time_point now);
+
+} // namespace cuminledge::core::routing
--- a/libs/wire/include/wire/commands.hpp
+++ b/libs/wire/include/wire/commands.hpp
@@ -118,12 +118,16 @@
 // Rate authority (group of the account)
 //------------------------------------------------------------------------------------------------------------------
 
-/// Reserves tokens ahead of grants: what a lost leader had reserved counts as spent.
+/// Reserves tokens ahead of grants, and records where the leader's bucket stands: after a failover all that may be
+/// outstanding counts as spent. A reservation of an older term is refused.
 struct reserve_rate {
     std::string account;
-    std::uint64_t term = 0; ///< of the leader that reserves; an older leader's reservation is refused
-    std::int64_t tokens = 0;
-    MSGPACK_DEFINE(account, term, tokens)
+    std::uint64_t term = 0; ///< of the leader that reserves
+    std::int64_t tokens = 0; ///< added to what the leader may grant
+    std::uint64_t sequence = 0; ///< rises by one for each reservation of the account in a term
+    std::int64_t level = 0; ///< the bucket with confirmed spending subtracted
+    std::int64_t outstanding = 0; ///< tokens that may yet be spent under this and earlier reservations
+    MSGPACK_DEFINE(account, term, tokens, sequence, level, outstanding)
 };
 
 //------------------------------------------------------------------------------------------------------------------
--- a/libs/wire/include/wire/control_messages.hpp
+++ b/libs/wire/include/wire/control_messages.hpp
@@ -138,16 +138,29 @@
 // Rate leases, from the leader of the account's group
 //------------------------------------------------------------------------------------------------------------------
 
+/// Tokens that a gateway spent, and how long before the request was sent the last of them was.
+struct rate_spend {
+    std::chrono::milliseconds age { 0 };
+    std::int64_t tokens = 0;
+    MSGPACK_DEFINE(age, tokens)
+};
+
+/// Counters are totals over the session, so that a lost or doubled request changes nothing.
 struct rate_lease_request {
-    std::uint64_t request = 0;
+    std::uint64_t request = 0; ///< rises by one for each request of a session; an older one is ignored
     std::uint32_t group = 0;
     std::string account;
-    std::uint64_t lease = 0; ///< the lease the gateway holds and hands back; 0: none
-    std::int64_t spent = 0; ///< of that lease
-    std::int64_t unspent = 0; ///< of that lease; given back
-    std::int64_t wanted = 0;
+    std::uint64_t lease = 0; ///< the last grant the gateway received in this session; 0: none
+    std::int64_t spent = 0; ///< in this session
+    std::int64_t unspent = 0; ///< given back in this session
+    std::int64_t wanted = 0; ///< further tokens, those for waiting calls included; 0: only reports
     std::int64_t demandPerSecond = 0; ///< what the gateway has lately seen
-    MSGPACK_DEFINE(request, group, account, lease, spent, unspent, wanted, demandPerSecond)
+    std::uint64_t session = 0; ///< rises with each session of the gateway, also across its restarts
+    std::uint64_t epoch = 0; ///< of the authority that granted the session's tokens; 0: none has yet
+    std::int64_t waiting = 0; ///< calls that wait for a token
+    std::vector<rate_spend> spends; ///< not acknowledged yet, oldest first
+    MSGPACK_DEFINE(request, group, account, lease, spent, unspent, wanted, demandPerSecond, session, epoch, waiting,
+        spends)
 };
 
 struct rate_lease_grant {
@@ -156,10 +169,20 @@
     std::string leader;
     std::string account;
     std::uint64_t lease = 0;
-    std::int64_t tokens = 0; ///< 0: refused; the account has nothing left
-    std::chrono::milliseconds duration { 0 }; ///< counts from when the request was sent
-    std::chrono::milliseconds retryAfter { 0 }; ///< where refused: when a token will be there
-    MSGPACK_DEFINE(request, notLeader, leader, account, lease, tokens, duration, retryAfter)
+    std::int64_t tokens = 0; ///< added to what the session holds
+    std::chrono::milliseconds duration { 0 }; ///< of all the session holds; counts from when the request was sent
+    std::chrono::milliseconds retryAfter { 0 }; ///< above 0: calls beyond `tokens` are refused; when a token will be there
+    std::uint64_t session = 0;
+    std::uint64_t epoch = 0;
+    MSGPACK_DEFINE(request, notLeader, leader, account, lease, tokens, duration, retryAfter, session, epoch)
+};
+
+/// The authority is short of tokens: the gateway gives back at once what it has not spent.
+struct rate_lease_recall {
+    std::uint32_t group = 0;
+    std::string account;
+    std::uint64_t session = 0;
+    MSGPACK_DEFINE(group, account, session)
 };
 
 } // namespace cuminledge::wire
