--- a/libs/core/src/consensus/snapshots.cpp
+++ b/libs/core/src/consensus/snapshots.cpp
@@ -137,12 +137,23 @@
     return r.incoming.data.size();
 }
 
+/// Drops what goes beyond the snapshot and conflicts with it. Entries up to the snapshot stay on disk until it is
+/// durable there: this replica may have acknowledged them, and they may be committed without its knowing.
+static void dropBeyond(replica& r, std::uint64_t index)
+{
+    if (lastIndex(r) > index) {
+        pendingWrite(r).truncateFrom = index + 1;
+    }
+    r.durableIndex = std::min(r.durableIndex, index);
+    for (auto& write : r.writesInFlight) {
+        write.lastIndex = std::min(write.lastIndex, index);
+    }
+}
+
 static void install(replica& r, const wire::snapshot_chunk& m, const wire::group_configuration& configuration,
     replica_output& out)
 {
-    if (lastIndex(r) > r.commitIndex) {
-        truncateLog(r, r.commitIndex + 1);
-    }
+    dropBeyond(r, m.lastIndex);
     r.log = { m.lastIndex + 1, m.lastTerm, {} };
     r.snapshot = { m.lastIndex, m.lastTerm, m.configuration, std::move(r.incoming.data) };
     r.incoming = {};
