--- /dev/null
+++ b/libs/core/src/store/control_state.cpp
@@ -0,0 +1,272 @@
+#include <core/store/control_state.hpp>
+
+#include <algorithm>
+#include <type_traits>
+#include <variant>
+
+#include <fmt/format.h>
+
+#include <store/refusal.hpp>
+
+namespace cuminledge::core::store {
+
+namespace {
+
+    bool isId(const std::string& id)
+    {
+        return !id.empty() && id.size() <= maxIdBytes;
+    }
+
+    //--------------------------------------------------------------------------------------------------------------
+    // Manifest
+    //--------------------------------------------------------------------------------------------------------------
+
+    bool wasAccepted(const control_state& state, std::uint64_t number, const std::string& digest)
+    {
+        return std::any_of(state.manifestHistory.begin(), state.manifestHistory.end(),
+            [&](const accepted_manifest& held) { return held.number == number && held.digest == digest; });
+    }
+
+    wire::command_result refuseLowerManifest(const control_state& state, const wire::accept_manifest& command)
+    {
+        const char* before = wasAccepted(state, command.number, command.digest)
+            ? "it was accepted before and has been replaced"
+            : "it was not accepted";
+        auto message = fmt::format("manifest {} is in force, {} is lower; {}", state.manifestNumber, command.number, before);
+        return refuse(error_code::Conflict, std::move(message), "accept_manifest", state.manifestDigest);
+    }
+
+    wire::command_result applyCommand(control_state& state, const wire::accept_manifest& command)
+    {
+        if (command.number < state.manifestNumber) {
+            return refuseLowerManifest(state, command);
+        }
+        if (command.number == state.manifestNumber) {
+            if (command.digest == state.manifestDigest) {
+                return wire::acknowledged { state.manifestNumber };
+            }
+            auto message = fmt::format("another manifest with number {} is in force", command.number);
+            return refuse(error_code::Conflict, std::move(message), "accept_manifest", state.manifestDigest);
+        }
+        state.manifestNumber = command.number;
+        state.manifestDigest = command.digest;
+        state.manifest = command.document;
+        state.manifestHistory.push_back({ command.number, command.digest });
+        if (state.manifestHistory.size() > maxManifestHistory) {
+            state.manifestHistory.erase(state.manifestHistory.begin());
+        }
+        return wire::acknowledged { state.manifestNumber };
+    }
+
+    //--------------------------------------------------------------------------------------------------------------
+    // Keys
+    //--------------------------------------------------------------------------------------------------------------
+
+    wire::command_result applyCommand(control_state& state, const wire::issue_key& command)
+    {
+        const std::string step = "issue_key";
+        if (!isId(command.key) || !isId(command.account) || command.salt.size() > maxIdBytes || !isId(command.hash)) {
+            return refuse(error_code::InvalidArgument, "a field is empty or too long", step);
+        }
+        const auto known = state.keys.find(command.key);
+        if (known != state.keys.end()) {
+            const auto& held = known->second;
+            const bool isResend
+                = held.account == command.account && held.salt == command.salt && held.hash == command.hash;
+            if (!isResend) {
+                return refuse(error_code::Conflict, "the key id is taken", step);
+            }
+            if (held.withdrawn) {
+                return refuse(error_code::Conflict, "the key was issued and has been withdrawn", step);
+            }
+            return wire::acknowledged { state.keyChanges.revisionOf.at(command.key) };
+        }
+        if (state.keys.size() - state.withdrawnKeys >= maxKeys) {
+            return refuse(error_code::Overloaded, fmt::format("{} keys are in force, the most there may be", maxKeys), step);
+        }
+        state.keys[command.key] = { command.key, command.account, command.salt, command.hash, false };
+        return wire::acknowledged { touch(state.keyChanges, command.key) };
+    }
+
+    void forgetOldestWithdrawnKey(control_state& state)
+    {
+        for (const auto& [revision, key] : state.keyChanges.byRevision) {
+            if (state.keys.at(key).withdrawn) {
+                const auto forgotten = key;
+                state.keys.erase(forgotten);
+                forget(state.keyChanges, forgotten);
+                --state.withdrawnKeys;
+                return;
+            }
+        }
+    }
+
+    wire::command_result applyCommand(control_state& state, const wire::withdraw_key& command)
+    {
+        const auto known = state.keys.find(command.key);
+        if (known == state.keys.end()) {
+            return refuse(error_code::NotFound, "no such key", "withdraw_key");
+        }
+        if (known->second.withdrawn) {
+            return wire::acknowledged { state.keyChanges.revisionOf.at(command.key) };
+        }
+        known->second.withdrawn = true;
+        ++state.withdrawnKeys;
+        const auto revision = touch(state.keyChanges, command.key);
+        if (state.withdrawnKeys > maxWithdrawnKeys) {
+            forgetOldestWithdrawnKey(state);
+        }
+        return wire::acknowledged { revision };
+    }
+
+    //--------------------------------------------------------------------------------------------------------------
+    // Backend servers
+    //--------------------------------------------------------------------------------------------------------------
+
+    wire::command_result applyCommand(control_state& state, const wire::drain_backend& command)
+    {
+        if (!isId(command.backend)) {
+            return refuse(error_code::InvalidArgument, "the backend server's id is empty or too long", "drain_backend");
+        }
+        if (!command.draining) {
+            state.drains.erase(command.backend);
+            return wire::acknowledged {};
+        }
+        if (state.drains.size() >= maxDrains && !state.drains.contains(command.backend)) {
+            return refuse(error_code::Overloaded, fmt::format("{} backend servers are draining", maxDrains), "drain_backend");
+        }
+        state.drains.insert(command.backend);
+        return wire::acknowledged {};
+    }
+
+    void forgetOldestOrderer(control_state& state)
+    {
+        const auto oldest = std::min_element(state.orderers.begin(), state.orderers.end(),
+            [](const auto& left, const auto& right) { return left.second.number < right.second.number; });
+        state.orderers.erase(oldest);
+    }
+
+    wire::command_result applyCommand(control_state& state, const wire::register_orderer& command)
+    {
+        const std::string step = "register_orderer";
+        if (!isId(command.backend)) {
+            return refuse(error_code::InvalidArgument, "the backend server's id is empty or too long", step);
+        }
+        const auto known = state.orderers.find(command.backend);
+        if (known != state.orderers.end()) {
+            if (command.incarnation == known->second.incarnation) {
+                return wire::fencing_number { known->second.number };
+            }
+            if (command.incarnation < known->second.incarnation) {
+                return refuse(error_code::Conflict, "a later incarnation orders this backend server", step);
+            }
+        }
+        // One counter for all backend servers: numbers rise even for one whose entry was forgotten.
+        const auto number = ++state.lastFencingNumber;
+        state.orderers[command.backend] = { command.backend, command.incarnation, number };
+        if (state.orderers.size() > maxOrderers) {
+            forgetOldestOrderer(state);
+        }
+        return wire::fencing_number { number };
+    }
+
+    //--------------------------------------------------------------------------------------------------------------
+    // Requests that crash backend servers
+    //--------------------------------------------------------------------------------------------------------------
+
+    template <typename Predicate>
+    const std::string* oldestCrash(const control_state& state, const Predicate& matches)
+    {
+        for (const auto& [revision, fingerprint] : state.crashChanges.byRevision) {
+            if (matches(state.crashes.at(fingerprint))) {
+                return &fingerprint;
+            }
+        }
+        return nullptr;
+    }
+
+    template <typename Predicate>
+    bool forgetOldestCrash(control_state& state, const Predicate& matches)
+    {
+        const auto* found = oldestCrash(state, matches);
+        if (found == nullptr) {
+            return false;
+        }
+        const auto fingerprint = *found;
+        state.crashes.erase(fingerprint);
+        forget(state.crashChanges, fingerprint);
+        return true;
+    }
+
+    void boundCrashes(control_state& state)
+    {
+        const auto cleared = static_cast<std::size_t>(std::count_if(
+            state.crashes.begin(), state.crashes.end(), [](const auto& entry) { return entry.second.cleared; }));
+        if (cleared > maxClearedFingerprints) {
+            forgetOldestCrash(state, [](const crash_record& record) { return record.cleared; });
+        }
+        if (state.crashes.size() - cleared <= maxCrashRecords) {
+            return;
+        }
+        const auto isSuspect = [](const crash_record& record) { return !record.cleared && !record.quarantined; };
+        if (!forgetOldestCrash(state, isSuspect)) {
+            forgetOldestCrash(state, [](const crash_record& record) { return record.quarantined; });
+        }
+    }
+
+    wire::command_result applyCommand(control_state& state, const wire::report_crash& command)
+    {
+        if (!isId(command.fingerprint) || !isId(command.backend)) {
+            return refuse(error_code::InvalidArgument, "a field is empty or too long", "report_crash");
+        }
+        auto& record = state.crashes[command.fingerprint];
+        const std::pair death(command.backend, command.engineIncarnation);
+        const bool isKnown = std::find(record.deaths.begin(), record.deaths.end(), death) != record.deaths.end();
+        if (isKnown || record.quarantined) {
+            return wire::acknowledged { state.crashChanges.revision };
+        }
+        record.fingerprint = command.fingerprint;
+        record.account = command.account;
+        if (record.cleared) {
+            // Until here the deaths of a cleared record were kept, so that late resends of their reports had no effect.
+            record.deaths.clear();
+            record.cleared = false;
+        }
+        record.deaths.push_back(death);
+        record.quarantined = record.deaths.size() >= quarantineDeaths;
+        const auto revision = touch(state.crashChanges, command.fingerprint);
+        boundCrashes(state);
+        return wire::acknowledged { revision };
+    }
+
+    wire::command_result applyCommand(control_state& state, const wire::clear_fingerprint& command)
+    {
+        const auto known = state.crashes.find(command.fingerprint);
+        if (known == state.crashes.end() || known->second.cleared) {
+            return wire::acknowledged { state.crashChanges.revision };
+        }
+        if (known->second.quarantined && !command.byOperator) {
+            return refuse(error_code::Quarantined, "only an operator lifts a quarantine", "clear_fingerprint");
+        }
+        known->second.cleared = true;
+        known->second.quarantined = false;
+        const auto revision = touch(state.crashChanges, command.fingerprint);
+        boundCrashes(state);
+        return wire::acknowledged { revision };
+    }
+
+    /// Every other command belongs to one of the groups 1..N.
+    template <typename Command>
+    wire::command_result applyCommand(control_state& /*state*/, const Command& /*command*/)
+    {
+        return refuse(error_code::InvalidArgument, "this command does not belong to group 0", "apply");
+    }
+
+} // namespace
+
+wire::command_result applyCommand(control_state& state, const wire::command& command)
+{
+    return std::visit([&state](const auto& alternative) { return applyCommand(state, alternative); }, command);
+}
+
+} // namespace cuminledge::core::store
--- a/libs/wire/include/wire/commands.hpp
+++ b/libs/wire/include/wire/commands.hpp
@@ -299,8 +299,9 @@
     std::uint64_t backendIncarnation = 0;
     std::uint32_t status = 0;
     std::string answer;
+    bool answerDropped = false; ///< Done, but the answer was too large or is no longer kept
     MSGPACK_DEFINE(account, call, state, requestDigest, attempt, service, operation, backend, backendIncarnation,
-        status, answer)
+        status, answer, answerDropped)
 };
 
 struct program_list {
