--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -34,17 +34,7 @@
         if (!endpoint) {
             return tl::unexpected<error>(endpoint.error());
         }
-        boost::system::error_code problem;
-        m_acceptor.open(endpoint->protocol(), problem);
-        if (!problem) {
-            m_acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true), problem);
-        }
-        if (!problem) {
-            m_acceptor.bind(*endpoint, problem);
-        }
-        if (!problem) {
-            m_acceptor.listen(boost::asio::socket_base::max_listen_connections, problem);
-        }
+        const auto problem = openAcceptor(m_acceptor, *endpoint);
         if (problem) {
             return failure(error_code::Unavailable, problem.message(), "listen", m_settings.address);
         }
