--- /dev/null
+++ b/libs/net/src/client_connection.cpp
@@ -0,0 +1,357 @@
+#include "client_connection.hpp"
+
+#include <array>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "address.hpp"
+#include "http_text.hpp"
+
+namespace cuminledge::net {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+    constexpr std::size_t readBytes = 16U << 10U;
+
+    std::string requestText(const client_request& request)
+    {
+        http::request<http::empty_body> message;
+        message.version(11);
+        message.method_string(request.method);
+        message.target(request.target);
+        message.set(http::field::host, request.address);
+        for (const auto& [name, value] : request.headers) {
+            message.insert(name, value);
+        }
+        message.content_length(request.body.size());
+        return headerText(message) + request.body;
+    }
+
+} // namespace
+
+struct client_connection::parser_state {
+    boost::beast::flat_buffer buffer;
+    std::optional<http::response_parser<http::string_body>> parser;
+};
+
+client_connection::client_connection(boost::asio::io_context& context, std::string address, connection_owner& owner)
+    : m_socket(context)
+    , m_deadline(context)
+    , m_address(std::move(address))
+    , m_owner(&owner)
+    , m_parser(std::make_unique<parser_state>())
+{
+}
+
+client_connection::~client_connection() = default;
+
+void client_connection::start(client_request request)
+{
+    m_request = std::move(request);
+    m_busy = true;
+    m_responded = false;
+    m_phase = request_phase::NotSent;
+    m_events.reset();
+    auto& parser = m_parser->parser.emplace();
+    parser.eager(true);
+    parser.header_limit(static_cast<std::uint32_t>(m_owner->settings().maxHeaderBytes));
+    parser.body_limit(m_owner->settings().maxBodyBytes);
+    parser.skip(m_request.method == "HEAD");
+    m_sending = requestText(m_request);
+    m_sent = 0;
+    m_request.body.clear();
+    if (m_connected) {
+        restartSilence();
+        sendRequest();
+    } else {
+        dial();
+    }
+}
+
+bool client_connection::isOpen()
+{
+    char byte = 0;
+    boost::system::error_code problem;
+    m_socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, problem);
+    return problem == boost::asio::error::would_block;
+}
+
+//------------------------------------------------------------------------------------------------------------------
+// Sending
+//------------------------------------------------------------------------------------------------------------------
+
+void client_connection::dial()
+{
+    const auto endpoint = parseAddress(m_address, "connect");
+    if (!endpoint) {
+        // A handler is never called from within start().
+        boost::asio::post(m_socket.get_executor(),
+            [self = shared_from_this(), message = endpoint.error().message] { self->fail(message); });
+        return;
+    }
+    setDeadline(m_owner->settings().connectTimeout, "no connection within the connect timeout");
+    m_socket.async_connect(*endpoint, [self = shared_from_this()](auto problem) {
+        if (self->m_closed) {
+            return;
+        }
+        if (problem) {
+            self->fail(problem.message());
+            return;
+        }
+        self->m_connected = true;
+        boost::system::error_code ignored;
+        self->m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        self->m_socket.non_blocking(true, ignored);
+        self->restartSilence();
+        self->sendRequest();
+        self->read();
+    });
+}
+
+/// Writes without a completion handler, so that the phase is right at any moment: an end of the connection that is
+/// noticed while a written byte waits for its handler would count as NotSent.
+void client_connection::sendRequest()
+{
+    boost::system::error_code problem;
+    const auto count = m_socket.write_some(boost::asio::buffer(m_sending.data() + m_sent, m_sending.size() - m_sent), problem);
+    if (count != 0) {
+        m_phase = request_phase::Sent;
+        m_sent += count;
+        restartSilence();
+    }
+    if (m_sent == m_sending.size()) {
+        m_sending.clear();
+        return;
+    }
+    if (problem && problem != boost::asio::error::would_block) {
+        boost::asio::post(m_socket.get_executor(),
+            [self = shared_from_this(), message = problem.message()] { self->fail(message); });
+        return;
+    }
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_write, [self = shared_from_this()](auto cancelled) {
+        if (!cancelled && !self->m_closed) {
+            self->sendRequest();
+        }
+    });
+}
+
+//------------------------------------------------------------------------------------------------------------------
+// The answer
+//------------------------------------------------------------------------------------------------------------------
+
+void client_connection::read()
+{
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](auto problem) {
+        if (self->m_closed) {
+            return;
+        }
+        if (problem) {
+            self->onEnd(problem.message());
+            return;
+        }
+        self->onReadable();
+    });
+}
+
+void client_connection::onReadable()
+{
+    std::array<char, readBytes> bytes;
+    boost::system::error_code problem;
+    const auto count = m_socket.read_some(boost::asio::buffer(bytes), problem);
+    if (problem == boost::asio::error::would_block) {
+        read();
+        return;
+    }
+    if (problem) {
+        onEnd(problem == boost::asio::error::eof ? "connection closed by the server" : problem.message());
+        return;
+    }
+    onBytes({ bytes.data(), count });
+    if (!m_closed) {
+        read();
+    }
+}
+
+void client_connection::onBytes(std::string_view bytes)
+{
+    if (!m_busy) {
+        onEnd("bytes without a request");
+        return;
+    }
+    m_phase = request_phase::Answering;
+    restartSilence();
+    if (!parse(bytes)) {
+        return;
+    }
+    if (m_parser->parser->is_done()) {
+        finish();
+    }
+}
+
+/// @return whether the connection goes on.
+bool client_connection::parse(std::string_view bytes)
+{
+    const auto self = shared_from_this();
+    auto& buffer = m_parser->buffer;
+    const auto copied = boost::asio::buffer_copy(
+        buffer.prepare(bytes.size()), boost::asio::const_buffer(bytes.data(), bytes.size()));
+    buffer.commit(copied);
+    auto& parser = *m_parser->parser;
+    while (buffer.size() != 0 && !parser.is_done()) {
+        boost::system::error_code problem;
+        buffer.consume(parser.put(buffer.data(), problem));
+        if (problem && problem != http::error::need_more) {
+            fail("not a valid answer: " + problem.message());
+            return false;
+        }
+        if (!deliverBody()) {
+            return false;
+        }
+        if (problem) {
+            break;
+        }
+    }
+    return true;
+}
+
+/// @return whether the connection goes on.
+bool client_connection::deliverBody()
+{
+    auto& parser = *m_parser->parser;
+    if (!parser.is_header_done()) {
+        return true;
+    }
+    if (!std::exchange(m_responded, true)) {
+        const auto type = parser.get()[http::field::content_type];
+        if (m_request.eventStream && type.starts_with("text/event-stream")) {
+            m_events.emplace(m_owner->settings().maxEventBytes);
+        }
+        m_owner->onResponse(m_request.request, parser.get().result_int());
+    }
+    std::string piece = std::exchange(parser.get().body(), {});
+    if (m_closed || piece.empty()) {
+        return !m_closed;
+    }
+    if (!m_events) {
+        m_owner->onData(m_request.request, std::move(piece));
+        return !m_closed;
+    }
+    const bool fits = m_events->feed(piece, [this](std::string&& data) {
+        if (!m_closed) {
+            m_owner->onData(m_request.request, std::move(data));
+        }
+    });
+    if (!fits && !m_closed) {
+        fail("a server-sent event over its size limit");
+    }
+    return !m_closed;
+}
+
+void client_connection::finish()
+{
+    auto& parser = *m_parser->parser;
+    const bool reusable = parser.keep_alive() && m_parser->buffer.size() == 0 && m_sending.empty();
+    m_busy = false;
+    m_deadline.cancel();
+    m_parser->parser.reset();
+    const auto owner = m_owner;
+    const std::string request = std::exchange(m_request, {}).request;
+    const auto self = shared_from_this();
+    if (reusable) {
+        setDeadline(owner->settings().pooledIdleTimeout, "unused");
+    } else {
+        drop();
+    }
+    owner->onFinished(*this, request, reusable);
+}
+
+/// The server has closed the connection, or it broke.
+void client_connection::onEnd(const std::string& reason)
+{
+    if (!m_busy) {
+        closeIdle();
+        return;
+    }
+    auto& parser = *m_parser->parser;
+    boost::system::error_code problem;
+    if (parser.is_header_done()) {
+        parser.put_eof(problem);
+        if (!problem && parser.is_done()) {
+            finish();
+            return;
+        }
+    }
+    fail(reason);
+}
+
+//------------------------------------------------------------------------------------------------------------------
+// Closing
+//------------------------------------------------------------------------------------------------------------------
+
+void client_connection::fail(const std::string& message)
+{
+    if (m_closed) {
+        return;
+    }
+    const auto self = shared_from_this();
+    auto* owner = m_owner;
+    const std::string request = m_request.request;
+    drop();
+    owner->onFailed(*this, request, m_phase, message);
+}
+
+void client_connection::closeIdle()
+{
+    const auto self = shared_from_this();
+    auto* owner = m_owner;
+    drop();
+    owner->onIdleClosed(*this);
+}
+
+void client_connection::onTimeout(const char* message)
+{
+    if (m_busy) {
+        fail(message);
+    } else {
+        closeIdle();
+    }
+}
+
+void client_connection::drop()
+{
+    m_closed = true;
+    m_owner = nullptr;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    m_deadline.cancel();
+}
+
+void client_connection::restartSilence()
+{
+    if (m_request.silenceTimeout.count() != 0) {
+        setDeadline(m_request.silenceTimeout, "silent past its timeout");
+    } else {
+        m_deadline.cancel();
+    }
+}
+
+void client_connection::setDeadline(std::chrono::milliseconds timeout, const char* message)
+{
+    m_deadline.expires_after(timeout);
+    m_deadline.async_wait([self = shared_from_this(), message](auto cancelled) {
+        const bool setAnew = self->m_deadline.expiry() > std::chrono::steady_clock::now();
+        if (!cancelled && !self->m_closed && !setAnew) {
+            self->onTimeout(message);
+        }
+    });
+}
+
+} // namespace cuminledge::net
--- a/libs/net/src/http_session.cpp
+++ b/libs/net/src/http_session.cpp
@@ -11,7 +11,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <boost/beast/version.hpp>
+
+#include "http_text.hpp"
 
 namespace cuminledge::net {
 
@@ -31,30 +32,6 @@
         return lower;
     }
 
-    template <typename Buffers>
-    std::string toText(const Buffers& buffers)
-    {
-        std::string text;
-        text.reserve(boost::asio::buffer_size(buffers));
-        for (auto piece = boost::asio::buffer_sequence_begin(buffers); piece != boost::asio::buffer_sequence_end(buffers);
-             ++piece) {
-            const boost::asio::const_buffer bytes = *piece;
-            text.append(static_cast<const char*>(bytes.data()), bytes.size());
-        }
-        return text;
-    }
-
-    template <typename Body>
-    std::string headerText(http::response<Body>& response)
-    {
-        http::response_serializer<Body> serializer(response);
-        serializer.split(true);
-        std::string text;
-        boost::system::error_code problem;
-        serializer.next(problem, [&](auto&, const auto& buffers) { text = toText(buffers); });
-        return text;
-    }
-
     void setFields(http::fields& fields, const header_list& headers)
     {
         for (const auto& [name, value] : headers) {
