--- a/libs/core/tests/limits_fleet.hpp
+++ b/libs/core/tests/limits_fleet.hpp
@@ -180,7 +180,7 @@
     });
 }
 
-inline void receiveGrant(rate_fleet& fleet, std::size_t index, std::uint64_t incarnation, wire::rate_lease_grant grant)
+inline void receiveGrant(rate_fleet& fleet, std::size_t index, std::uint64_t incarnation, const wire::rate_lease_grant& grant)
 {
     auto& gateway = fleet.gateways[index];
     if (gateway.incarnation != incarnation) {
