--- a/libs/net/include/net/http_server.hpp
+++ b/libs/net/include/net/http_server.hpp
@@ -35,7 +35,8 @@
     /// A whole request has come. It needs exactly one reply(), endStream() or abort(), now or later.
     std::function<void(http_request&&)> onRequest;
 
-    /// The connection is gone before the answer was given in full; later calls for the exchange do nothing.
+    /// The connection is gone before the answer was given in full; later calls for the exchange do nothing. Never
+    /// called from within a call of the owner.
     /// A caller that shuts down its sending side while it waits counts as gone.
     std::function<void(std::uint64_t exchange, const std::string& reason)> onGone;
 };
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 
 #include "address.hpp"
 #include "http_session.hpp"
@@ -115,10 +116,16 @@
 
     void loseExchange(std::uint64_t exchange, const std::string& reason) override
     {
-        if (m_exchanges.erase(exchange) != 0 && !m_stopped) {
-            ++m_counts.gone;
-            m_handlers.onGone(exchange, reason);
+        if (m_exchanges.erase(exchange) == 0 || m_stopped) {
+            return;
         }
+        ++m_counts.gone;
+        // The owner may be in the middle of a call, e.g. of streamEvent() to a slow reader.
+        boost::asio::post(m_context, [self = shared_from_this(), exchange, reason] {
+            if (!self->m_stopped) {
+                self->m_handlers.onGone(exchange, reason);
+            }
+        });
     }
 
     void endSession(std::uint64_t connection) override { m_sessions.erase(connection); }
