--- a/libs/net/src/address.cpp
+++ b/libs/net/src/address.cpp
@@ -1,4 +1,4 @@
-#include "address.hpp"
+#include <net/address.hpp>
 
 #include <charconv>
 
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -10,7 +10,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include "address.hpp"
+#include <net/address.hpp>
+
 #include "http_text.hpp"
 
 namespace cuminledge::net {
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -7,7 +7,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 
-#include "address.hpp"
+#include <net/address.hpp>
+
 #include "http_session.hpp"
 
 namespace cuminledge::net {
--- a/libs/net/src/peer_transport.cpp
+++ b/libs/net/src/peer_transport.cpp
@@ -14,7 +14,8 @@
 
 #include <base/log.hpp>
 
-#include "address.hpp"
+#include <net/address.hpp>
+
 #include "peer_link.hpp"
 
 namespace cuminledge::net {
