net: one listener for all that accept TCP; stand-in engine: reports and answers in files of their own

The accept loop, with its pause where descriptors run out, stood in the HTTP server and in the peer transport; the relay had a third one without the pause, which would have spun.

--- a/libs/net/include/net/address.hpp
+++ b/libs/net/include/net/address.hpp
@@ -11,8 +11,4 @@
 /// Reads "IP:PORT" or "[IP6]:PORT". Host names are not looked up: processes know one another by IP numbers.
 result<boost::asio::ip::tcp::endpoint> parseAddress(const std::string& address, const std::string& step);
 
-/// Opens, binds and listens. @return what went wrong, if anything.
-boost::system::error_code openAcceptor(
-    boost::asio::ip::tcp::acceptor& acceptor, const boost::asio::ip::tcp::endpoint& endpoint);
-
 } // namespace cuminledge::net
--- a/libs/net/src/address.cpp
+++ b/libs/net/src/address.cpp
@@ -28,21 +28,4 @@
     return boost::asio::ip::tcp::endpoint(ip, port);
 }
 
-boost::system::error_code openAcceptor(
-    boost::asio::ip::tcp::acceptor& acceptor, const boost::asio::ip::tcp::endpoint& endpoint)
-{
-    boost::system::error_code problem;
-    acceptor.open(endpoint.protocol(), problem);
-    if (!problem) {
-        acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true), problem);
-    }
-    if (!problem) {
-        acceptor.bind(endpoint, problem);
-    }
-    if (!problem) {
-        acceptor.listen(boost::asio::socket_base::max_listen_connections, problem);
-    }
-    return problem;
-}
-
 } // namespace cuminledge::net
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 
-#include <net/address.hpp>
+#include <net/tcp_listener.hpp>
 
 #include "http_session.hpp"
 
@@ -24,30 +24,18 @@
 public:
     impl(boost::asio::io_context& context, http_server_settings settings, http_server_handlers handlers)
         : m_context(context)
-        , m_acceptor(context)
+        , m_listener(context, [this](auto socket) { startSession(std::move(socket)); })
         , m_settings(std::move(settings))
         , m_handlers(std::move(handlers))
     {
     }
 
-    result<std::uint16_t> listen()
-    {
-        const auto endpoint = parseAddress(m_settings.address, "listen");
-        if (!endpoint) {
-            return tl::unexpected<error>(endpoint.error());
-        }
-        const auto problem = openAcceptor(m_acceptor, *endpoint);
-        if (problem) {
-            return failure(error_code::Unavailable, problem.message(), "listen", m_settings.address);
-        }
-        accept();
-        return m_acceptor.local_endpoint().port();
-    }
+    result<std::uint16_t> listen() { return m_listener.open(m_settings.address); }
 
     void stop()
     {
         m_stopped = true;
-        closeAcceptor();
+        m_listener.close();
         const auto sessions = std::exchange(m_sessions, {});
         for (const auto& [connection, session] : sessions) {
             session->close();
@@ -74,7 +62,7 @@
     void closeListener()
     {
         m_draining = true;
-        closeAcceptor();
+        m_listener.close();
         const auto sessions = m_sessions;
         for (const auto& [connection, session] : sessions) {
             session->drain();
@@ -132,39 +120,6 @@
     void endSession(std::uint64_t connection) override { m_sessions.erase(connection); }
 
 private:
-    void closeAcceptor()
-    {
-        boost::system::error_code ignored;
-        m_acceptor.close(ignored);
-    }
-
-    void accept()
-    {
-        m_acceptor.async_accept([self = shared_from_this()](auto problem, boost::asio::ip::tcp::socket socket) {
-            if (!self->m_acceptor.is_open()) {
-                return;
-            }
-            if (!problem) {
-                self->startSession(std::move(socket));
-                self->accept();
-                return;
-            }
-            self->retryAccept();
-        });
-    }
-
-    /// Out of file descriptors, mostly: accepting again at once would spin.
-    void retryAccept()
-    {
-        constexpr auto pause = std::chrono::milliseconds(50);
-        m_acceptPause.expires_after(pause);
-        m_acceptPause.async_wait([self = shared_from_this()](auto cancelled) {
-            if (!cancelled && self->m_acceptor.is_open()) {
-                self->accept();
-            }
-        });
-    }
-
     void startSession(boost::asio::ip::tcp::socket socket)
     {
         if (m_sessions.size() >= m_settings.maxConnections) {
@@ -179,8 +134,7 @@
     }
 
     boost::asio::io_context& m_context;
-    boost::asio::ip::tcp::acceptor m_acceptor;
-    boost::asio::steady_timer m_acceptPause { m_context };
+    tcp_listener m_listener;
     http_server_settings m_settings;
     http_server_handlers m_handlers;
     http_server_counts m_counts;
--- a/libs/net/src/peer_transport.cpp
+++ b/libs/net/src/peer_transport.cpp
@@ -15,6 +15,7 @@
 #include <base/log.hpp>
 
 #include <net/address.hpp>
+#include <net/tcp_listener.hpp>
 
 #include "peer_link.hpp"
 
@@ -61,8 +62,7 @@
         , m_clock(clock)
         , m_settings(std::move(settings))
         , m_handlers(std::move(handlers))
-        , m_acceptor(context)
-        , m_acceptPause(context)
+        , m_listener(context, [this](tcp::socket socket) { onAccepted(std::move(socket)); })
         , m_heartbeat(context)
         , m_random(m_settings.seed)
         , m_lastTick(clock.now())
@@ -75,16 +75,7 @@
         if (m_settings.listenAddress.empty()) {
             return std::uint16_t { 0 };
         }
-        const auto endpoint = parseAddress(m_settings.listenAddress, "listen");
-        if (!endpoint) {
-            return tl::unexpected<error>(endpoint.error());
-        }
-        const auto problem = openAcceptor(m_acceptor, *endpoint);
-        if (problem) {
-            return failure(error_code::Unavailable, problem.message(), "listen", m_settings.listenAddress);
-        }
-        accept();
-        return m_acceptor.local_endpoint().port();
+        return m_listener.open(m_settings.listenAddress);
     }
 
     void connect(const std::string& name, const std::string& address)
@@ -149,9 +140,7 @@
     void stop()
     {
         m_stopped = true;
-        boost::system::error_code ignored;
-        m_acceptor.close(ignored);
-        m_acceptPause.cancel();
+        m_listener.close();
         m_heartbeat.cancel();
         m_notices.clear();
         const auto links = std::exchange(m_links, {});
@@ -238,33 +227,11 @@
         return *peer;
     }
 
-    void accept()
+    void onAccepted(tcp::socket socket)
     {
-        m_acceptor.async_accept([self = shared_from_this()](auto problem, tcp::socket socket) {
-            if (!self->m_acceptor.is_open()) {
-                return;
-            }
-            if (problem) {
-                self->retryAccept();
-                return;
-            }
-            if (self->m_links.size() < self->m_settings.maxLinks) {
-                self->makeLink(std::move(socket), false, {})->start();
-            }
-            self->accept();
-        });
-    }
-
-    /// Out of file descriptors, mostly: accepting again at once would spin.
-    void retryAccept()
-    {
-        constexpr auto pause = std::chrono::milliseconds(50);
-        m_acceptPause.expires_after(pause);
-        m_acceptPause.async_wait([self = shared_from_this()](auto cancelled) {
-            if (!cancelled && self->m_acceptor.is_open()) {
-                self->accept();
-            }
-        });
+        if (m_links.size() < m_settings.maxLinks) {
+            makeLink(std::move(socket), false, {})->start();
+        }
     }
 
     std::shared_ptr<peer_link> makeLink(tcp::socket socket, bool isDialler, const std::string& expectedPeer)
@@ -405,8 +372,7 @@
     const clock_source& m_clock;
     peer_transport_settings m_settings;
     peer_transport_handlers m_handlers;
-    tcp::acceptor m_acceptor;
-    boost::asio::steady_timer m_acceptPause;
+    tcp_listener m_listener;
     boost::asio::steady_timer m_heartbeat;
     std::mt19937_64 m_random;
     time_point m_lastTick;
--- a/tools/standin_engine/src/engine.cpp
+++ b/tools/standin_engine/src/engine.cpp
@@ -11,9 +11,10 @@
 #include <base/json.hpp>
 #include <base/log.hpp>
 #include <net/http_server.hpp>
-#include <standin_engine/chat_request.hpp>
 
 #include "attempt_statistics.hpp"
+#include "chat_answer.hpp"
+#include "engine_reports.hpp"
 #include "order_book.hpp"
 
 namespace cuminledge::standin {
@@ -25,86 +26,6 @@
 
     constexpr std::size_t maxRequestBytes = 16U << 20U;
     constexpr int crashExitCode = 134;
-    constexpr std::size_t maxCachePrefixes = 4096; ///< of an imported sequence
-
-    /// A chat request under way.
-    struct chat {
-        std::uint64_t id = 0; ///< of the sequence and of the HTTP exchange
-        std::string attempt;
-        chat_request request;
-        std::int64_t resumed = 0; ///< tokens of resume_text
-        std::string pending; ///< rest of a token that resume_text ends within
-        std::string answer; ///< generated now
-        std::int64_t generated = 0;
-        bool cut = false; ///< by max_tokens, rather than at the answer's end
-        bool silent = false;
-    };
-
-    std::string answerText(std::uint64_t promptHash, std::int64_t from, std::int64_t to)
-    {
-        std::string text;
-        for (auto position = from; position < to; ++position) {
-            text += answerToken(promptHash, position);
-        }
-        return text;
-    }
-
-    Json::Value usageOf(const chat& c, const sequence& s)
-    {
-        const auto prompt = tokensOf(s.prompt);
-        Json::Value usage(Json::objectValue);
-        usage["prompt_tokens"] = Json::Int64(prompt);
-        usage["completion_tokens"] = Json::Int64(c.generated);
-        usage["total_tokens"] = Json::Int64(prompt + c.generated);
-        usage["cached_tokens"] = Json::Int64(s.cachedTokens);
-        usage["prompt_tokens_details"]["cached_tokens"] = Json::Int64(s.cachedTokens);
-        return usage;
-    }
-
-    Json::Value boundariesToJson(const std::vector<boundary>& boundaries)
-    {
-        Json::Value list(Json::arrayValue);
-        for (const auto& each : boundaries) {
-            Json::Value pair(Json::arrayValue);
-            pair.append(Json::Int64(each.tokens));
-            pair.append(Json::UInt64(each.hash));
-            list.append(std::move(pair));
-        }
-        return list;
-    }
-
-    result<std::vector<boundary>> boundariesFromJson(const Json::Value& list)
-    {
-        std::vector<boundary> boundaries;
-        const auto wrong = failure(error_code::InvalidArgument, "not an exported sequence", "import");
-        if (!list.isArray() || list.empty() || list.size() > maxCachePrefixes) {
-            return wrong;
-        }
-        for (const auto& pair : list) {
-            if (!pair.isArray() || pair.size() != 2 || !pair[0].isInt64() || !pair[1].isUInt64()) {
-                return wrong;
-            }
-            const boundary next { pair[0].asInt64(), pair[1].asUInt64() };
-            if (next.tokens <= tokensOf(boundaries)) {
-                return wrong;
-            }
-            boundaries.push_back(next);
-        }
-        return boundaries;
-    }
-
-    const char* toString(cache_change change)
-    {
-        switch (change) {
-        case cache_change::Stored:
-            return "stored";
-        case cache_change::Evicted:
-            return "evicted";
-        case cache_change::Released:
-            return "released";
-        }
-        return "stored";
-    }
 
     std::uint64_t numberIn(const std::string& text)
     {
@@ -175,7 +96,7 @@
         if (request.method == "POST" && target == "/v1/chat/completions") {
             onChat(request);
         } else if (request.method == "GET" && events) {
-            replyJson(request.exchange, listEvents(numberIn(after(*events, "?after=").value_or("0"))));
+            onEvents(request, numberIn(after(*events, "?after=").value_or("0")));
         } else if (request.method == "GET") {
             onGet(request, kv);
         } else if (request.method == "DELETE" && cached) {
@@ -203,7 +124,7 @@
         } else if (target == "/load") {
             replyJson(request.exchange, load());
         } else if (target == "/cache") {
-            replyJson(request.exchange, listCache());
+            replyJson(request.exchange, listCache(m_model));
         } else if (target == "/orders") {
             replyJson(request.exchange, m_orders.toJson());
         } else if (kv) {
@@ -336,9 +257,7 @@
         c.answer += text;
         c.generated = generated;
         if (c.request.stream && !c.silent) {
-            Json::Value delta(Json::objectValue);
-            delta["content"] = text;
-            streamChunk(c, std::move(delta), Json::nullValue, Json::nullValue);
+            m_server.streamEvent(c.id, writeJson(streamChunk(c, text, Json::nullValue, Json::nullValue)));
         }
         c.silent = c.silent || c.request.wanted == fault::SilentConnection;
     }
@@ -361,41 +280,12 @@
     {
         const std::string reason = c.cut ? "length" : "stop";
         if (c.request.stream) {
-            streamChunk(c, Json::objectValue, reason, usage);
+            m_server.streamEvent(c.id, writeJson(streamChunk(c, {}, reason, usage)));
             m_server.streamEvent(c.id, "[DONE]");
             m_server.endStream(c.id);
             return;
         }
-        auto body = envelope(c, "chat.completion");
-        auto& choice = body["choices"][0];
-        choice["index"] = 0;
-        choice["message"]["role"] = "assistant";
-        choice["message"]["content"] = c.answer;
-        choice["finish_reason"] = reason;
-        body["usage"] = usage;
-        replyJson(c.id, body);
-    }
-
-    void streamChunk(const chat& c, Json::Value delta, const Json::Value& reason, const Json::Value& usage)
-    {
-        auto body = envelope(c, "chat.completion.chunk");
-        auto& choice = body["choices"][0];
-        choice["index"] = 0;
-        choice["delta"] = std::move(delta);
-        choice["finish_reason"] = reason;
-        if (!usage.isNull()) {
-            body["usage"] = usage;
-        }
-        m_server.streamEvent(c.id, writeJson(body));
-    }
-
-    static Json::Value envelope(const chat& c, const char* object)
-    {
-        Json::Value body(Json::objectValue);
-        body["id"] = "chat-" + std::to_string(c.id);
-        body["object"] = object;
-        body["model"] = c.request.model;
-        return body;
+        replyJson(c.id, wholeAnswer(c, reason, usage));
     }
 
     void onGone(std::uint64_t exchange)
@@ -431,55 +321,22 @@
         body["waiting"] = Json::UInt64(m_model.waiting.size());
         body["running_tokens"] = Json::Int64(m_model.runningTokens);
         body["cached_tokens"] = Json::Int64(m_model.cachedTokens);
-        body["cache"] = cachedPrograms();
+        body["cache"] = cachedPrograms(m_model);
         return body;
     }
 
-    [[nodiscard]] Json::Value cachedPrograms() const
+    void onEvents(const http_request& request, std::uint64_t afterNumber)
     {
-        Json::Value programs(Json::objectValue);
-        for (const auto& [program, entry] : m_model.cache) {
-            programs[program] = Json::Int64(tokensOf(entry.boundaries));
-        }
-        return programs;
-    }
-
-    [[nodiscard]] Json::Value listCache() const
-    {
-        Json::Value body(Json::objectValue);
-        body["sequence"] = Json::UInt64(m_model.lastEvent);
-        body["programs"] = cachedPrograms();
-        return body;
-    }
-
-    [[nodiscard]] Json::Value listEvents(std::uint64_t afterNumber) const
-    {
-        Json::Value body(Json::objectValue);
+        auto body = listEvents(m_model, afterNumber, m_clock.now());
         body["incarnation"] = Json::UInt64(m_incarnation);
-        body["oldest"] = Json::UInt64(m_model.events.empty() ? m_model.lastEvent + 1 : m_model.events.front().number);
-        body["events"] = Json::arrayValue;
-        for (const auto& event : visibleEvents(m_model, afterNumber, m_clock.now())) {
-            Json::Value each(Json::objectValue);
-            each["sequence"] = Json::UInt64(event.number);
-            each["kind"] = toString(event.change);
-            each["program"] = event.program;
-            each["tokens"] = Json::Int64(event.tokens);
-            body["events"].append(std::move(each));
-        }
-        return body;
+        replyJson(request.exchange, body);
     }
 
     Json::Value load()
     {
         if (m_load.isNull() || m_clock.now() - m_loadAt >= m_settings.loadLag) {
             m_loadAt = m_clock.now();
-            m_load = Json::objectValue;
-            m_load["running"] = Json::UInt64(m_model.running.size());
-            m_load["waiting"] = Json::UInt64(m_model.waiting.size());
-            m_load["waiting_prefill_tokens"] = Json::Int64(prefillBacklog(m_model));
-            m_load["cache_free_tokens"]
-                = Json::Int64(m_model.settings.cacheTokens - m_model.runningTokens - m_model.cachedTokens);
-            m_load["batch_limit"] = m_model.settings.batchLimit;
+            m_load = reportLoad(m_model);
         }
         return m_load;
     }
@@ -585,7 +442,7 @@
                 self.refuse(exchange, 507, "too_large", "no memory for this sequence");
                 return;
             }
-            self.replyJson(exchange, self.listCache());
+            self.replyJson(exchange, listCache(self.m_model));
         });
     }
 
--- a/tools/standin_relay/include/standin_relay/relay.hpp
+++ b/tools/standin_relay/include/standin_relay/relay.hpp
@@ -67,7 +67,7 @@
 
 private:
     class impl;
-    std::shared_ptr<impl> m_impl;
+    std::unique_ptr<impl> m_impl;
 };
 
 } // namespace cuminledge::standin
--- a/tools/standin_relay/src/relay.cpp
+++ b/tools/standin_relay/src/relay.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 
 #include <net/address.hpp>
+#include <net/tcp_listener.hpp>
 
 namespace cuminledge::standin {
 
@@ -116,10 +117,10 @@
     relay_flow m_flow;
 };
 
-class relay::impl : public std::enable_shared_from_this<relay::impl> {
+class relay::impl {
 public:
     impl(boost::asio::io_context& context, std::string listenAddress, std::string serverAddress)
-        : m_acceptor(context)
+        : m_listener(context, [this](tcp::socket socket) { start(std::move(socket)); })
         , m_listenAddress(std::move(listenAddress))
         , m_serverAddress(std::move(serverAddress))
     {
@@ -128,17 +129,11 @@
     result<std::uint16_t> listen()
     {
         const auto server = net::parseAddress(m_serverAddress, "relay");
-        const auto own = net::parseAddress(m_listenAddress, "listen");
-        if (!server || !own) {
-            return tl::unexpected<error>(server ? own.error() : server.error());
+        if (!server) {
+            return tl::unexpected<error>(server.error());
         }
         m_server = *server;
-        const auto problem = net::openAcceptor(m_acceptor, *own);
-        if (problem) {
-            return failure(error_code::Unavailable, problem.message(), "listen", m_listenAddress);
-        }
-        accept();
-        return m_acceptor.local_endpoint().port();
+        return m_listener.open(m_listenAddress);
     }
 
     bool setFlow(std::uint64_t id, relay_flow flow)
@@ -170,8 +165,7 @@
 
     void stop()
     {
-        boost::system::error_code ignored;
-        m_acceptor.close(ignored);
+        m_listener.close();
         closeAll();
     }
 
@@ -187,19 +181,6 @@
     }
 
 private:
-    void accept()
-    {
-        m_acceptor.async_accept([self = shared_from_this()](auto problem, tcp::socket socket) {
-            if (!self->m_acceptor.is_open()) {
-                return;
-            }
-            if (!problem) {
-                self->start(std::move(socket));
-            }
-            self->accept();
-        });
-    }
-
     void start(tcp::socket socket)
     {
         std::erase_if(m_connections, [](const auto& entry) { return !entry.second->isOpen(); });
@@ -211,7 +192,7 @@
         connection->start(m_server);
     }
 
-    tcp::acceptor m_acceptor;
+    net::tcp_listener m_listener;
     std::string m_listenAddress;
     std::string m_serverAddress;
     tcp::endpoint m_server;
@@ -225,7 +206,7 @@
 //------------------------------------------------------------------------------------------------------------------
 
 relay::relay(boost::asio::io_context& context, std::string listenAddress, std::string serverAddress)
-    : m_impl(std::make_shared<impl>(context, std::move(listenAddress), std::move(serverAddress)))
+    : m_impl(std::make_unique<impl>(context, std::move(listenAddress), std::move(serverAddress)))
 {
 }
 
