Add the controller: replicas, requests, configuration, membership, operators

Cause: the state machines need a process that hosts them, answers for the groups it leads, and tells gateways what is in force. Change: reduceController binds a consensus replica of each group to its state. A command is answered when its entry is committed and applied; when the leadership is lost before that, the asker is redirected and an operator is told that the outcome is unknown. Reads need the leader's lease. Announcements live in the memory of group 0's leader; a new leader keeps gateways from dropping servers for two announce leases. Limits that follow from one update a poll: 20,000 keys in force, a manifest up to 3 MB. Ruled out: a separate retention log for deltas (the change index finds them); answering a proposal at once with the leader's guess.

--- /dev/null
+++ b/libs/core/include/core/controller/controller.hpp
@@ -0,0 +1,148 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <base/clock.hpp>
+#include <core/consensus/replica.hpp>
+#include <core/controller/controller_settings.hpp>
+#include <core/effect.hpp>
+#include <core/event.hpp>
+#include <core/identity.hpp>
+#include <core/limits/rate_authority.hpp>
+#include <core/manifest/manifest.hpp>
+#include <core/store/change_index.hpp>
+#include <core/store/control_state.hpp>
+#include <core/store/shard_state.hpp>
+
+/**
+ * The controller: hosts a replica of every group, answers for those that it leads.
+ *
+ * A command is answered when its log entry is committed and applied; a read, while the leader holds its lease. After
+ * a lost leadership the asker is told to ask the next leader, never a result that may not hold.
+ */
+namespace cuminledge::core::controller {
+
+//------------------------------------------------------------------------------------------------------------------
+// Proposals
+//------------------------------------------------------------------------------------------------------------------
+
+/// The controller itself proposed the command; nobody waits.
+struct own_origin {
+};
+
+struct peer_origin {
+    std::string peer;
+    std::uint64_t request = 0;
+};
+
+struct operator_origin {
+    exchange_id exchange = 0;
+    std::string method;
+};
+
+using proposal_origin = std::variant<own_origin, peer_origin, operator_origin>;
+
+/// A proposed log entry that is not committed yet.
+struct pending_proposal {
+    std::uint64_t term = 0; ///< another entry may come to stand at the index, in another term
+    proposal_origin origin;
+};
+
+//------------------------------------------------------------------------------------------------------------------
+// What a leader keeps in memory; a new leader builds it anew
+//------------------------------------------------------------------------------------------------------------------
+
+/// A backend server that is announced, or was a short time ago.
+struct announced_backend {
+    wire::backend_record record; ///< `withdrawn` once it left or its lease lapsed
+    time_point leaseEnd {};
+    bool isLeaving = false; ///< said so itself; this incarnation does not come back
+};
+
+/// Backend servers as their sidecars announce them to the leader of group 0.
+struct membership {
+    std::uint64_t epoch = 0; ///< term of the leadership
+    time_point completeAt {}; ///< before it, a server that is missing here may only not have announced itself yet
+    std::map<std::string, announced_backend> backends; ///< by id
+    store::change_index changes;
+    std::set<std::pair<std::string, std::uint64_t>> registrations; ///< proposed fencing numbers: backend, incarnation
+};
+
+/// Looks at a program again later: has it been idle, or its turn under way, for too long?
+struct watched_program {
+    time_point lastActivity {};
+    time_point nextCheck {};
+};
+
+struct program_watch {
+    std::map<std::string, watched_program> programs; ///< the open ones, by id
+    std::set<std::pair<time_point, std::string>> checks; ///< by nextCheck
+};
+
+//------------------------------------------------------------------------------------------------------------------
+// The controller
+//------------------------------------------------------------------------------------------------------------------
+
+struct hosted_group {
+    std::uint32_t group = 0;
+    consensus::replica replica;
+    std::map<std::uint64_t, pending_proposal> pending; ///< by log index
+    std::uint64_t appliedIndex = 0;
+    bool isServing = false; ///< leads, and has had a lease since: the leader's duties have begun
+    store::shard_state shard; ///< unused in group 0
+    limits::rate_authority authority; ///< unused in group 0
+    program_watch watch; ///< unused in group 0
+};
+
+struct controller_counters {
+    std::uint64_t commandsAnswered = 0;
+    std::uint64_t queriesAnswered = 0;
+    std::uint64_t redirected = 0; ///< answered "not leader" at once
+    std::uint64_t outcomesLost = 0; ///< proposals whose leadership was lost before they were committed
+    std::uint64_t pollsAnswered = 0;
+    std::uint64_t announcements = 0;
+    std::uint64_t lapses = 0; ///< announcements not renewed in time
+    std::uint64_t idlePrograms = 0; ///< ended after their idle lease
+    std::uint64_t lostTurns = 0; ///< turns under way past the turn timeout
+    std::uint64_t badRequests = 0;
+};
+
+/// Made with the settings filled in. Then process_started, one replica_loaded for each group, and ticks.
+struct controller_state {
+    controller_settings settings;
+    std::map<std::uint32_t, hosted_group> groups;
+    store::control_state control; ///< of group 0
+    std::optional<manifest::manifest> manifest; ///< control.manifest, parsed
+    membership members;
+    std::map<std::string, std::string> peerRoles; ///< of connected processes, by name
+    bool isReady = false;
+    std::optional<time_point> shutdownSince;
+    time_point nextSweep {};
+    controller_counters counters;
+};
+
+/// Commands of one group that may wait for their commit; more are refused as overloaded.
+constexpr std::size_t maxPendingProposals = 20'000;
+
+/// @return the JSON-RPC methods that operators may call.
+const std::vector<std::string>& operatorMethods();
+
+/**
+ * Takes one event.
+ *
+ * @param now monotonic; never goes back from one call to the next.
+ * @param random for election timeouts.
+ * @param out gets the effects, in order.
+ */
+void reduceController(controller_state& state, const event& e, const process_identity& self, time_point now,
+    std::mt19937_64& random, effects& out);
+
+} // namespace cuminledge::core::controller
--- /dev/null
+++ b/libs/core/include/core/controller/controller_settings.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <base/json.hpp>
+#include <core/consensus/settings.hpp>
+#include <core/limits/rate_limit.hpp>
+
+namespace cuminledge::core::controller {
+
+/// One of the controllers that host the groups; the same list stands in the settings of each.
+struct controller_member {
+    std::string name;
+    std::string address; ///< "IP:PORT" for other processes
+    std::string operatorAddress; ///< "IP:PORT" of its JSON-RPC listener; may be empty
+};
+
+struct controller_settings {
+    std::vector<controller_member> controllers;
+    std::uint32_t groupCount = 4; ///< groups 1..groupCount; fixed when the system is first started
+    consensus::consensus_settings consensus;
+    limits::lease_settings rateLeases;
+    std::chrono::milliseconds configLease { 2'000 }; ///< for how long a gateway serves after its last poll
+    std::chrono::milliseconds announceLease { 2'000 }; ///< a backend server not announced for so long is gone
+    std::chrono::milliseconds turnTimeout { 900'000 }; ///< a turn under way for so long is taken as lost
+    std::chrono::milliseconds shutdownLimit { 3'000 }; ///< for handing over leaderships
+};
+
+/// Reads the object "controller" of a controller's settings; adds a fault for each value out of its range.
+controller_settings readSettings(json_object_reader& reader);
+
+/// @return the controller, or null.
+const controller_member* findController(const controller_settings& settings, const std::string& name);
+
+} // namespace cuminledge::core::controller
--- a/libs/core/include/core/manifest/manifest.hpp
+++ b/libs/core/include/core/manifest/manifest.hpp
@@ -70,7 +70,7 @@
     std::vector<service> services;
 };
 
-constexpr std::size_t maxManifestBytes = 4U << 20U;
+constexpr std::size_t maxManifestBytes = 3U << 20U;
 constexpr std::size_t maxClientAccounts = 20000;
 constexpr std::size_t maxRoutes = 1000;
 constexpr std::size_t maxServices = 1000;
--- a/libs/core/include/core/store/control_state.hpp
+++ b/libs/core/include/core/store/control_state.hpp
@@ -15,10 +15,12 @@
 
 namespace cuminledge::core::store {
 
-/// Keys in force at most; issuing more is refused.
-constexpr std::size_t maxKeys = 100'000;
+/// Keys in force at most; issuing more is refused. All of them fit one configuration update.
+constexpr std::size_t maxKeys = 20'000;
+/// Of a key's id, account, salt and hash, each.
+constexpr std::size_t maxKeyFieldBytes = 64;
 /// Withdrawn keys remembered; past it the one withdrawn first is forgotten, which is as good as unknown.
-constexpr std::size_t maxWithdrawnKeys = 100'000;
+constexpr std::size_t maxWithdrawnKeys = 20'000;
 /// Accepted manifests whose digests are remembered, to tell a resent one from one that lost.
 constexpr std::size_t maxManifestHistory = 256;
 constexpr std::size_t maxDrains = 20'000;
--- /dev/null
+++ b/libs/core/src/controller/controller.cpp
@@ -0,0 +1,204 @@
+#include <core/controller/controller.hpp>
+
+#include <utility>
+
+#include <controller/internal.hpp>
+#include <core/consensus/consensus.hpp>
+#include <core/group.hpp>
+
+namespace cuminledge::core::controller {
+
+void log(reduction& r, log_level level, std::string event, std::vector<std::pair<std::string, std::string>> fields)
+{
+    r.out.emplace_back(write_log { level, std::move(event), std::move(fields) });
+}
+
+namespace {
+
+    constexpr std::chrono::milliseconds sweepInterval { 50 };
+    /// For the last messages to leave the process.
+    constexpr std::chrono::milliseconds shutdownGrace { 200 };
+
+    //--------------------------------------------------------------------------------------------------------------
+    // Messages
+    //--------------------------------------------------------------------------------------------------------------
+
+    void receive(reduction& r, const std::string& peer, const wire::consensus_envelope& envelope)
+    {
+        // The replicas trust one another, so only the controllers of the settings may speak for them.
+        if (findController(r.state.settings, peer) == nullptr) {
+            ++r.state.counters.badRequests;
+            return;
+        }
+        receiveEnvelope(r, peer, envelope);
+    }
+
+    void receive(reduction& r, const std::string& peer, const wire::controller_request& request)
+    {
+        receiveRequest(r, peer, request);
+    }
+
+    void receive(reduction& r, const std::string& peer, const wire::config_poll& poll)
+    {
+        receivePoll(r, peer, poll);
+    }
+
+    void receive(reduction& r, const std::string& peer, const wire::announce_backend& announcement)
+    {
+        receiveAnnouncement(r, peer, announcement);
+    }
+
+    void receive(reduction& r, const std::string& peer, const wire::rate_lease_request& request)
+    {
+        receiveRateRequest(r, peer, request);
+    }
+
+    /// Every other message is not a controller's to take.
+    template <typename Message>
+    void receive(reduction& r, const std::string& /*peer*/, const Message& /*message*/)
+    {
+        ++r.state.counters.badRequests;
+    }
+
+    //--------------------------------------------------------------------------------------------------------------
+    // The process
+    //--------------------------------------------------------------------------------------------------------------
+
+    void start(reduction& r)
+    {
+        if (findController(r.state.settings, r.self.name) == nullptr) {
+            log(r, log_level::Error, "settings_fault",
+                { { "path", "$.controller.controllers" }, { "message", "expected this process's own name in the list" } });
+            r.out.emplace_back(stop_process { 2 });
+            return;
+        }
+        for (const auto& member : r.state.settings.controllers) {
+            if (member.name != r.self.name) {
+                r.out.emplace_back(connect_peer { member.name, member.address });
+            }
+        }
+    }
+
+    bool knowsAllLeaders(controller_state& state)
+    {
+        for (std::uint32_t group = systemGroup; group <= state.settings.groupCount; ++group) {
+            if (leaderOf(state, group).empty()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void updateReadiness(reduction& r)
+    {
+        const bool ready = !r.state.shutdownSince && knowsAllLeaders(r.state);
+        if (ready == r.state.isReady) {
+            return;
+        }
+        r.state.isReady = ready;
+        const char* reason = r.state.shutdownSince ? "shutting down" : "a group has no known leader";
+        r.out.emplace_back(set_ready { ready, ready ? "" : reason });
+    }
+
+    void continueShutdown(reduction& r)
+    {
+        if (!r.state.shutdownSince) {
+            return;
+        }
+        const auto passed = r.now - *r.state.shutdownSince;
+        const bool isOver = (handOver(r) && passed >= shutdownGrace) || passed >= r.state.settings.shutdownLimit;
+        if (isOver) {
+            r.out.emplace_back(stop_process { 0 });
+        }
+    }
+
+    void handle(reduction& r, const process_started& /*started*/)
+    {
+        start(r);
+    }
+
+    void handle(reduction& r, const replica_loaded& loaded)
+    {
+        loadReplica(r, loaded);
+    }
+
+    void handle(reduction& r, const log_persisted& persisted)
+    {
+        notePersisted(r, persisted);
+    }
+
+    void handle(reduction& r, const storage_failed& failed)
+    {
+        noteStorageFailed(r, failed);
+    }
+
+    void handle(reduction& r, const tick& /*tick*/)
+    {
+        tickGroups(r);
+        for (auto& [number, group] : r.state.groups) {
+            tickRates(r, group);
+            checkPrograms(r, group);
+        }
+        if (r.now >= r.state.nextSweep) {
+            r.state.nextSweep = r.now + sweepInterval;
+            lapseAnnouncements(r);
+        }
+        updateReadiness(r);
+        continueShutdown(r);
+    }
+
+    void handle(reduction& r, const peer_connected& connected)
+    {
+        r.state.peerRoles[connected.peer] = connected.role;
+    }
+
+    void handle(reduction& r, const peer_disconnected& disconnected)
+    {
+        r.state.peerRoles.erase(disconnected.peer);
+    }
+
+    void handle(reduction& r, const peer_message& message)
+    {
+        std::visit([&](const auto& body) { receive(r, message.peer, body); }, message.body);
+    }
+
+    void handle(reduction& r, const operator_request& request)
+    {
+        receiveOperator(r, request);
+    }
+
+    void handle(reduction& r, const dump_requested& request)
+    {
+        replyWithDump(r, request.exchange);
+    }
+
+    void handle(reduction& r, const shutdown_requested& request)
+    {
+        if (request.immediately) {
+            r.out.emplace_back(stop_process { 0 });
+            return;
+        }
+        if (r.state.shutdownSince) {
+            return;
+        }
+        r.state.shutdownSince = r.now;
+        updateReadiness(r);
+        r.out.emplace_back(close_listeners {});
+    }
+
+    /// A controller has no callers and no upstream.
+    template <typename Event>
+    void handle(reduction& /*r*/, const Event& /*event*/)
+    {
+    }
+
+} // namespace
+
+void reduceController(controller_state& state, const event& e, const process_identity& self, time_point now,
+    std::mt19937_64& random, effects& out)
+{
+    reduction r { state, self, now, random, out };
+    std::visit([&r](const auto& alternative) { handle(r, alternative); }, e);
+}
+
+} // namespace cuminledge::core::controller
--- /dev/null
+++ b/libs/core/src/controller/controller_settings.cpp
@@ -0,0 +1,63 @@
+#include <core/controller/controller_settings.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace cuminledge::core::controller {
+
+namespace {
+
+    constexpr std::size_t maxControllers = 31;
+    constexpr std::size_t maxAddressBytes = 256;
+    constexpr std::int64_t maxGroups = 1024;
+
+    controller_member readMember(json_object_reader& reader, std::set<std::string>& known)
+    {
+        controller_member member;
+        member.name = reader.string("name", 1, maxAddressBytes);
+        member.address = reader.string("address", 1, maxAddressBytes);
+        member.operatorAddress = reader.string("operator_address", 0, maxAddressBytes, "");
+        if (!member.name.empty() && !known.insert(member.name).second) {
+            reader.fault("name", "\"" + member.name + "\" stands twice");
+        }
+        if (member.name.find('#') != std::string::npos) {
+            reader.fault("name", "expected a name without '#', which separates it from its disk's incarnation");
+        }
+        return member;
+    }
+
+} // namespace
+
+controller_settings readSettings(json_object_reader& reader)
+{
+    using std::chrono::milliseconds;
+    controller_settings settings;
+    std::set<std::string> names;
+    reader.objects("controllers", maxControllers,
+        [&](json_object_reader& element) { settings.controllers.push_back(readMember(element, names)); });
+    if (settings.controllers.empty()) {
+        reader.fault("controllers", "expected at least one controller");
+    }
+    settings.groupCount = static_cast<std::uint32_t>(reader.integer("groups", 1, maxGroups, settings.groupCount));
+    reader.object("consensus",
+        [&](json_object_reader& member) { settings.consensus = consensus::readSettings(member); });
+    // A change must be in force everywhere within 3 s: the lease and one poll have to fit in.
+    settings.configLease
+        = reader.milliseconds("config_lease_ms", milliseconds(200), milliseconds(2'500), settings.configLease);
+    settings.announceLease
+        = reader.milliseconds("announce_lease_ms", milliseconds(200), milliseconds(60'000), settings.announceLease);
+    settings.turnTimeout
+        = reader.milliseconds("turn_timeout_ms", milliseconds(1'000), std::chrono::hours(24), settings.turnTimeout);
+    settings.shutdownLimit
+        = reader.milliseconds("shutdown_limit_ms", milliseconds(0), milliseconds(60'000), settings.shutdownLimit);
+    return settings;
+}
+
+const controller_member* findController(const controller_settings& settings, const std::string& name)
+{
+    const auto found = std::find_if(settings.controllers.begin(), settings.controllers.end(),
+        [&name](const controller_member& member) { return member.name == name; });
+    return found == settings.controllers.end() ? nullptr : &*found;
+}
+
+} // namespace cuminledge::core::controller
--- /dev/null
+++ b/libs/core/src/controller/groups.cpp
@@ -0,0 +1,295 @@
+#include <controller/internal.hpp>
+
+#include <utility>
+
+#include <core/consensus/consensus.hpp>
+#include <core/store/group.hpp>
+
+namespace cuminledge::core::controller {
+
+hosted_group* findGroup(controller_state& state, std::uint32_t group)
+{
+    const auto found = state.groups.find(group);
+    return found == state.groups.end() ? nullptr : &found->second;
+}
+
+bool mayServe(const hosted_group& group, time_point now)
+{
+    return group.isServing && consensus::mayRead(group.replica, now);
+}
+
+std::string leaderOf(controller_state& state, std::uint32_t group)
+{
+    const auto* hosted = findGroup(state, group);
+    return hosted == nullptr ? std::string() : consensus::leaderName(hosted->replica);
+}
+
+namespace {
+
+    //--------------------------------------------------------------------------------------------------------------
+    // The replicated state
+    //--------------------------------------------------------------------------------------------------------------
+
+    result<void> restoreState(controller_state& state, hosted_group& group, const std::string& snapshot)
+    {
+        if (group.group == systemGroup) {
+            auto decoded = store::decodeControlSnapshot(snapshot);
+            if (!decoded) {
+                return tl::unexpected(decoded.error());
+            }
+            state.control = std::move(*decoded);
+            return {};
+        }
+        auto decoded = store::decodeShardSnapshot(snapshot);
+        if (!decoded) {
+            return tl::unexpected(decoded.error());
+        }
+        group.shard = std::move(*decoded);
+        return {};
+    }
+
+    std::string encodeState(const controller_state& state, const hosted_group& group)
+    {
+        return group.group == systemGroup ? store::encodeSnapshot(state.control) : store::encodeSnapshot(group.shard);
+    }
+
+    /// A snapshot that can't be read leaves the replica without a state it could answer from.
+    void stopOnBadSnapshot(reduction& r, const hosted_group& group, const error& problem)
+    {
+        log(r, log_level::Error, "snapshot_unreadable",
+            { { "group", std::to_string(group.group) }, { "problem", describe(problem) } });
+        r.out.emplace_back(stop_process { 1 });
+    }
+
+    wire::command_result applyToState(controller_state& state, hosted_group& group, const wire::command& command)
+    {
+        return group.group == systemGroup ? store::applyCommand(state.control, command)
+                                          : store::applyCommand(group.shard, command);
+    }
+
+    //--------------------------------------------------------------------------------------------------------------
+    // Outcomes
+    //--------------------------------------------------------------------------------------------------------------
+
+    void answer(reduction& r, std::uint32_t group, const proposal_origin& origin, const wire::command_result& outcome)
+    {
+        ++r.state.counters.commandsAnswered;
+        if (const auto* peer = std::get_if<peer_origin>(&origin)) {
+            answerPeer(r, group, *peer, outcome);
+        } else if (const auto* exchange = std::get_if<operator_origin>(&origin)) {
+            answerOperator(r, *exchange, outcome);
+        }
+    }
+
+    /// The entry may or may not be committed by the next leader, so nothing is said about its outcome.
+    void answerLost(reduction& r, std::uint32_t group, const proposal_origin& origin)
+    {
+        ++r.state.counters.outcomesLost;
+        if (const auto* peer = std::get_if<peer_origin>(&origin)) {
+            redirectPeer(r, group, peer->peer, peer->request);
+        } else if (const auto* exchange = std::get_if<operator_origin>(&origin)) {
+            answerOutcomeUnknown(r, *exchange);
+        }
+    }
+
+    void answerAllLost(reduction& r, hosted_group& group)
+    {
+        const auto lost = std::exchange(group.pending, {});
+        for (const auto& [index, proposal] : lost) {
+            answerLost(r, group.group, proposal.origin);
+        }
+    }
+
+    std::optional<pending_proposal> takePending(hosted_group& group, std::uint64_t index)
+    {
+        const auto found = group.pending.find(index);
+        if (found == group.pending.end()) {
+            return std::nullopt;
+        }
+        auto proposal = std::move(found->second);
+        group.pending.erase(found);
+        return proposal;
+    }
+
+    void applyCommandEntry(reduction& r, hosted_group& group, const wire::log_entry& entry, const pending_proposal* proposal)
+    {
+        const auto command = wire::decodeVariant<wire::command>(entry.payload, "apply", "");
+        if (!command) {
+            // Every replica fails to read it alike, so skipping it keeps their states equal.
+            log(r, log_level::Error, "entry_unreadable",
+                { { "group", std::to_string(group.group) }, { "index", std::to_string(entry.index) } });
+            if (proposal != nullptr) {
+                answer(r, group.group, proposal->origin,
+                    wire::refused { static_cast<std::uint32_t>(error_code::Protocol), command.error().message, "apply", "" });
+            }
+            return;
+        }
+        const auto outcome = applyToState(r.state, group, *command);
+        if (proposal != nullptr) {
+            answer(r, group.group, proposal->origin, outcome);
+        }
+        noteApplied(r, group, *command, outcome);
+    }
+
+    void applyEntry(reduction& r, hosted_group& group, const wire::log_entry& entry)
+    {
+        group.appliedIndex = entry.index;
+        const auto proposal = takePending(group, entry.index);
+        const bool isOurs = proposal && proposal->term == entry.term;
+        if (proposal && !isOurs) {
+            answerLost(r, group.group, proposal->origin);
+        }
+        if (entry.kind == wire::log_entry_kind::Command) {
+            applyCommandEntry(r, group, entry, isOurs ? &*proposal : nullptr);
+        }
+    }
+
+    //--------------------------------------------------------------------------------------------------------------
+    // Carrying out what the replica asks for
+    //--------------------------------------------------------------------------------------------------------------
+
+    void updateServing(reduction& r, hosted_group& group)
+    {
+        if (!group.isServing && consensus::mayRead(group.replica, r.now)) {
+            group.isServing = true;
+            startServing(r, group);
+        } else if (group.isServing && !consensus::isLeader(group.replica)) {
+            group.isServing = false;
+            stopServing(r, group);
+        }
+    }
+
+    void send(reduction& r, consensus::replica_output& output)
+    {
+        for (auto& write : output.writes) {
+            r.out.emplace_back(std::move(write));
+        }
+        for (auto& envelope : output.messages) {
+            auto peer = consensus::controllerOf(envelope.to);
+            r.out.emplace_back(send_message { std::move(peer), std::move(envelope) });
+        }
+    }
+
+    void carryOut(reduction& r, hosted_group& group, consensus::replica_output output)
+    {
+        send(r, output);
+        if (output.installed) {
+            if (auto restored = restoreState(r.state, group, output.installed->state); !restored) {
+                stopOnBadSnapshot(r, group, restored.error());
+                return;
+            }
+            group.appliedIndex = output.installed->index;
+            noteStateReplaced(r, group);
+        }
+        for (const auto& entry : output.committed) {
+            applyEntry(r, group, entry);
+        }
+        if (output.lostLeadership) {
+            answerAllLost(r, group);
+        }
+        updateServing(r, group);
+        if (consensus::snapshotDue(group.replica)) {
+            consensus::replica_output snapshot;
+            consensus::takeSnapshot(group.replica, encodeState(r.state, group), snapshot);
+            send(r, snapshot);
+        }
+    }
+
+} // namespace
+
+void loadReplica(reduction& r, const replica_loaded& loaded)
+{
+    if (loaded.group > r.state.settings.groupCount) {
+        return;
+    }
+    std::vector<std::string> names;
+    for (const auto& member : r.state.settings.controllers) {
+        names.push_back(member.name);
+    }
+    auto& group = r.state.groups[loaded.group];
+    group.group = loaded.group;
+    group.authority.settings = r.state.settings.rateLeases;
+    group.replica = consensus::makeReplica(
+        r.state.settings.consensus, loaded.group, r.self.name, std::move(names), loaded, r.now);
+    group.appliedIndex = loaded.snapshotIndex;
+    if (loaded.snapshotIndex == 0) {
+        return;
+    }
+    if (auto restored = restoreState(r.state, group, loaded.snapshot); !restored) {
+        stopOnBadSnapshot(r, group, restored.error());
+        return;
+    }
+    noteStateReplaced(r, group);
+}
+
+void receiveEnvelope(reduction& r, const std::string& peer, const wire::consensus_envelope& envelope)
+{
+    auto* group = findGroup(r.state, envelope.group);
+    if (group == nullptr || consensus::controllerOf(envelope.from) != peer) {
+        ++r.state.counters.badRequests;
+        return;
+    }
+    consensus::replica_output output;
+    consensus::onMessage(group->replica, envelope, r.now, output);
+    carryOut(r, *group, std::move(output));
+}
+
+void notePersisted(reduction& r, const log_persisted& persisted)
+{
+    if (auto* group = findGroup(r.state, persisted.group)) {
+        consensus::replica_output output;
+        consensus::onPersisted(group->replica, persisted, r.now, output);
+        carryOut(r, *group, std::move(output));
+    }
+}
+
+void noteStorageFailed(reduction& r, const storage_failed& failed)
+{
+    log(r, log_level::Error, "storage_failed",
+        { { "group", std::to_string(failed.group) }, { "message", failed.message } });
+    if (auto* group = findGroup(r.state, failed.group)) {
+        consensus::replica_output output;
+        consensus::onStorageFailed(group->replica, failed, output);
+        carryOut(r, *group, std::move(output));
+    }
+}
+
+void tickGroups(reduction& r)
+{
+    for (auto& [number, group] : r.state.groups) {
+        consensus::replica_output output;
+        consensus::onTick(group.replica, r.now, r.random, output);
+        carryOut(r, group, std::move(output));
+    }
+}
+
+result<void> propose(reduction& r, hosted_group& group, const wire::command& command, proposal_origin origin)
+{
+    if (group.pending.size() >= maxPendingProposals) {
+        return failure(error_code::Overloaded, "too many commands wait for their commit", "propose");
+    }
+    consensus::replica_output output;
+    const auto index = consensus::propose(group.replica, wire::encodeVariant(command), r.now, output);
+    if (!index) {
+        return tl::unexpected(index.error());
+    }
+    group.pending[*index] = { group.replica.term, std::move(origin) };
+    carryOut(r, group, std::move(output));
+    return {};
+}
+
+bool handOver(reduction& r)
+{
+    bool leadsNothing = true;
+    for (auto& [number, group] : r.state.groups) {
+        if (!consensus::isLeader(group.replica)) {
+            continue;
+        }
+        consensus::replica_output output;
+        leadsNothing = consensus::transferLeadership(group.replica, r.now, output) && leadsNothing;
+        carryOut(r, group, std::move(output));
+    }
+    return leadsNothing;
+}
+
+} // namespace cuminledge::core::controller
--- /dev/null
+++ b/libs/core/src/controller/internal.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <string>
+
+#include <json/value.h>
+
+#include <core/controller/controller.hpp>
+
+/// What the parts of the controller call of one another.
+namespace cuminledge::core::controller {
+
+/// What every step of one event's reduction works on.
+struct reduction {
+    controller_state& state;
+    const process_identity& self;
+    time_point now;
+    std::mt19937_64& random;
+    effects& out;
+};
+
+//------------------------------------------------------------------------------------------------------------------
+// groups.cpp: replicas, proposals and their outcomes
+//------------------------------------------------------------------------------------------------------------------
+
+/// @return the group, or null before its replica is loaded or where there is none.
+hosted_group* findGroup(controller_state& state, std::uint32_t group);
+
+/// @return whether this controller leads the group and holds a lease now.
+bool mayServe(const hosted_group& group, time_point now);
+
+void loadReplica(reduction& r, const replica_loaded& loaded);
+void receiveEnvelope(reduction& r, const std::string& peer, const wire::consensus_envelope& envelope);
+void notePersisted(reduction& r, const log_persisted& persisted);
+void noteStorageFailed(reduction& r, const storage_failed& failed);
+void tickGroups(reduction& r);
+
+/// Puts a command into the group's log. @return an error where it was not; the origin is answered only on success.
+result<void> propose(reduction& r, hosted_group& group, const wire::command& command, proposal_origin origin);
+
+/// Hands every leadership over. @return whether this controller leads nothing any more.
+bool handOver(reduction& r);
+
+//------------------------------------------------------------------------------------------------------------------
+// duties.cpp: what follows from applied commands and from leadership
+//------------------------------------------------------------------------------------------------------------------
+
+/// The replicated state of the group was replaced by a snapshot.
+void noteStateReplaced(reduction& r, hosted_group& group);
+
+/// A command was applied.
+void noteApplied(
+    reduction& r, hosted_group& group, const wire::command& command, const wire::command_result& outcome);
+
+void startServing(reduction& r, hosted_group& group);
+void stopServing(reduction& r, hosted_group& group);
+
+//------------------------------------------------------------------------------------------------------------------
+// programs.cpp: idle programs and lost turns
+//------------------------------------------------------------------------------------------------------------------
+
+void startWatching(reduction& r, hosted_group& group);
+void noteActivity(reduction& r, hosted_group& group, const std::string& program);
+void checkPrograms(reduction& r, hosted_group& group);
+
+//------------------------------------------------------------------------------------------------------------------
+// rates.cpp
+//------------------------------------------------------------------------------------------------------------------
+
+void applyLimits(reduction& r, hosted_group& group);
+void receiveRateRequest(reduction& r, const std::string& peer, const wire::rate_lease_request& request);
+void noteReservation(reduction& r, hosted_group& group, const wire::reserve_rate& reservation);
+void tickRates(reduction& r, hosted_group& group);
+
+//------------------------------------------------------------------------------------------------------------------
+// membership.cpp
+//------------------------------------------------------------------------------------------------------------------
+
+void startMembership(reduction& r, std::uint64_t epoch);
+void stopMembership(reduction& r);
+void receiveAnnouncement(reduction& r, const std::string& peer, const wire::announce_backend& announcement);
+void noteDrain(reduction& r, const std::string& backend);
+void lapseAnnouncements(reduction& r);
+
+//------------------------------------------------------------------------------------------------------------------
+// config.cpp, requests.cpp, operators.cpp, dump.cpp
+//------------------------------------------------------------------------------------------------------------------
+
+void receivePoll(reduction& r, const std::string& peer, const wire::config_poll& poll);
+
+void receiveRequest(reduction& r, const std::string& peer, const wire::controller_request& request);
+void answerPeer(reduction& r, std::uint32_t group, const peer_origin& origin, const wire::command_result& outcome);
+void redirectPeer(reduction& r, std::uint32_t group, const std::string& peer, std::uint64_t request);
+
+void receiveOperator(reduction& r, const operator_request& request);
+void answerOperator(reduction& r, const operator_origin& origin, const wire::command_result& outcome);
+void answerOutcomeUnknown(reduction& r, const operator_origin& origin);
+
+Json::Value describeGroups(const controller_state& state, time_point now);
+Json::Value describeBackend(const wire::backend_record& record);
+void replyWithDump(reduction& r, exchange_id exchange);
+
+/// @return the controller that leads the group as far as is known; empty if unknown.
+std::string leaderOf(controller_state& state, std::uint32_t group);
+
+void log(reduction& r, log_level level, std::string event, std::vector<std::pair<std::string, std::string>> fields);
+
+} // namespace cuminledge::core::controller
--- /dev/null
+++ b/libs/core/src/controller/membership.cpp
@@ -0,0 +1,193 @@
+#include <controller/internal.hpp>
+
+#include <utility>
+
+#include <core/consensus/consensus.hpp>
+#include <core/group.hpp>
+
+namespace cuminledge::core::controller {
+
+namespace {
+
+    /// Withdrawn backend servers remembered, so that updates can say so and a late announcement does not count.
+    constexpr std::size_t maxBackends = 20'000;
+    constexpr std::size_t maxIdBytes = 256;
+    constexpr std::size_t maxModels = 1'000;
+
+    bool isValid(const wire::backend_record& record)
+    {
+        return !record.backend.empty() && record.backend.size() <= maxIdBytes && record.sidecarAddress.size() <= maxIdBytes
+            && record.region.size() <= maxIdBytes && record.failureDomain.size() <= maxIdBytes
+            && record.models.size() <= maxModels;
+    }
+
+    void answer(reduction& r, const std::string& peer, wire::announce_response response)
+    {
+        response.groupCount = r.state.settings.groupCount;
+        r.out.emplace_back(send_message { peer, std::move(response) });
+    }
+
+    void refuse(reduction& r, const std::string& peer, std::uint64_t request, std::string problem)
+    {
+        wire::announce_response response;
+        response.request = request;
+        response.problem = std::move(problem);
+        answer(r, peer, std::move(response));
+    }
+
+    bool isSame(const wire::backend_record& left, const wire::backend_record& right)
+    {
+        return wire::encodeStruct(left) == wire::encodeStruct(right);
+    }
+
+    void putRecord(reduction& r, wire::backend_record record)
+    {
+        auto& members = r.state.members;
+        auto& entry = members.backends[record.backend];
+        if (!isSame(entry.record, record)) {
+            store::touch(members.changes, record.backend);
+        }
+        entry.record = std::move(record);
+    }
+
+    /// Proposes the fencing number of this orderer once. @return the number, or 0 while there is none yet.
+    std::uint64_t fencingNumberOf(reduction& r, const wire::backend_record& record)
+    {
+        const auto known = r.state.control.orderers.find(record.backend);
+        if (known != r.state.control.orderers.end() && known->second.incarnation == record.incarnation) {
+            return known->second.number;
+        }
+        auto* group = findGroup(r.state, systemGroup);
+        if (r.state.members.registrations.insert({ record.backend, record.incarnation }).second) {
+            const wire::register_orderer command { record.backend, record.incarnation };
+            if (!propose(r, *group, command, own_origin {})) {
+                r.state.members.registrations.erase({ record.backend, record.incarnation });
+            }
+        }
+        return 0;
+    }
+
+    /// @return why this announcement can't be taken; empty if it can.
+    std::string problemOf(reduction& r, const wire::announce_backend& announcement)
+    {
+        const auto& record = announcement.backend;
+        if (!isValid(record)) {
+            return "a field is empty or too long";
+        }
+        const auto orderer = r.state.control.orderers.find(record.backend);
+        if (orderer != r.state.control.orderers.end() && orderer->second.incarnation > record.incarnation) {
+            return "a later incarnation holds this id";
+        }
+        const auto known = r.state.members.backends.find(record.backend);
+        if (known == r.state.members.backends.end()) {
+            return r.state.members.backends.size() >= maxBackends ? "too many backend servers are announced" : "";
+        }
+        return known->second.record.incarnation > record.incarnation ? "a later incarnation holds this id" : "";
+    }
+
+    void withdraw(reduction& r, const std::string& backend)
+    {
+        auto record = r.state.members.backends.at(backend).record;
+        record.withdrawn = true;
+        putRecord(r, std::move(record));
+    }
+
+    void take(reduction& r, const wire::announce_backend& announcement)
+    {
+        auto record = announcement.backend;
+        const auto known = r.state.members.backends.find(record.backend);
+        const bool hasLeft = known != r.state.members.backends.end() && known->second.isLeaving
+            && known->second.record.incarnation == record.incarnation;
+        record.withdrawn = announcement.leaving || hasLeft;
+        record.draining = r.state.control.drains.contains(record.backend);
+        const auto id = record.backend;
+        putRecord(r, std::move(record));
+        auto& entry = r.state.members.backends.at(id);
+        entry.isLeaving = announcement.leaving || hasLeft;
+        entry.leaseEnd = r.now + r.state.settings.announceLease;
+    }
+
+    void forgetOldestWithdrawn(membership& members)
+    {
+        for (const auto& [revision, id] : members.changes.byRevision) {
+            if (members.backends.at(id).record.withdrawn) {
+                const auto forgotten = id;
+                members.backends.erase(forgotten);
+                store::forget(members.changes, forgotten);
+                return;
+            }
+        }
+    }
+
+} // namespace
+
+void startMembership(reduction& r, std::uint64_t epoch)
+{
+    r.state.members = {};
+    r.state.members.epoch = epoch;
+    // A sidecar needs up to a lease to notice that the old leader is gone, and again to find the new one.
+    r.state.members.completeAt = r.now + 2 * r.state.settings.announceLease;
+}
+
+void stopMembership(reduction& r)
+{
+    r.state.members = {};
+}
+
+void receiveAnnouncement(reduction& r, const std::string& peer, const wire::announce_backend& announcement)
+{
+    ++r.state.counters.announcements;
+    const auto* group = findGroup(r.state, systemGroup);
+    if (group == nullptr || !mayServe(*group, r.now)) {
+        ++r.state.counters.redirected;
+        wire::announce_response response;
+        response.request = announcement.request;
+        response.notLeader = true;
+        response.leader = leaderOf(r.state, systemGroup);
+        answer(r, peer, std::move(response));
+        return;
+    }
+    if (r.state.members.backends.size() >= maxBackends) {
+        forgetOldestWithdrawn(r.state.members);
+    }
+    if (auto problem = problemOf(r, announcement); !problem.empty()) {
+        refuse(r, peer, announcement.request, std::move(problem));
+        return;
+    }
+    take(r, announcement);
+    const auto& record = r.state.members.backends.at(announcement.backend.backend).record;
+    wire::announce_response response;
+    response.request = announcement.request;
+    response.accepted = true;
+    response.lease = r.state.settings.announceLease;
+    response.drainOrdered = record.draining;
+    response.fencingNumber = announcement.leaving ? 0 : fencingNumberOf(r, record);
+    answer(r, peer, std::move(response));
+}
+
+void noteDrain(reduction& r, const std::string& backend)
+{
+    const bool isDraining = r.state.control.drains.contains(backend);
+    log(r, log_level::Info, isDraining ? "drain_ordered" : "drain_lifted", { { "backend", backend } });
+    const auto known = r.state.members.backends.find(backend);
+    if (known == r.state.members.backends.end()) {
+        return;
+    }
+    auto record = known->second.record;
+    record.draining = isDraining;
+    putRecord(r, std::move(record));
+}
+
+void lapseAnnouncements(reduction& r)
+{
+    for (const auto& [id, backend] : r.state.members.backends) {
+        if (backend.record.withdrawn || r.now < backend.leaseEnd) {
+            continue;
+        }
+        ++r.state.counters.lapses;
+        log(r, log_level::Warning, "announcement_lapsed", { { "backend", id } });
+        withdraw(r, id);
+    }
+}
+
+} // namespace cuminledge::core::controller
--- a/libs/core/src/store/control_state.cpp
+++ b/libs/core/src/store/control_state.cpp
@@ -62,10 +62,16 @@
     // Keys
     //--------------------------------------------------------------------------------------------------------------
 
+    bool isKeyField(const std::string& field)
+    {
+        return !field.empty() && field.size() <= maxKeyFieldBytes;
+    }
+
     wire::command_result applyCommand(control_state& state, const wire::issue_key& command)
     {
         const std::string step = "issue_key";
-        if (!isId(command.key) || !isId(command.account) || command.salt.size() > maxIdBytes || !isId(command.hash)) {
+        if (!isKeyField(command.key) || !isKeyField(command.account) || !isKeyField(command.salt)
+            || !isKeyField(command.hash)) {
             return refuse(error_code::InvalidArgument, "a field is empty or too long", step);
         }
         const auto known = state.keys.find(command.key);
