--- a/libs/core/src/store/program_commands.cpp
+++ b/libs/core/src/store/program_commands.cpp
@@ -110,11 +110,16 @@
         return begun;
     }
 
+    std::int64_t worstCaseOf(const program& p, const wire::begin_turn& command)
+    {
+        return p.historyTokens + command.deltaTokens + command.maxCompletionTokens;
+    }
+
     wire::command_result answerUnderWay(const program& p, const wire::begin_turn& command)
     {
         const auto& held = p.underWay;
         const bool isResend = held.turn == command.turn && held.attempt == command.attempt
-            && held.requestDigest == command.requestDigest;
+            && held.requestDigest == command.requestDigest && held.tokens == worstCaseOf(p, command);
         if (isResend) {
             return permitTurn(p);
         }
@@ -127,6 +132,14 @@
         return std::find(p.abandoned.begin(), p.abandoned.end(), attempt) != p.abandoned.end();
     }
 
+    /// The turn that ended the program by its budget or turn cap gets the same code when it is resent.
+    wire::command_result refuseEnded(const program& p)
+    {
+        const bool isSpent = p.endReason == "budget" || p.endReason == "turn_cap";
+        const auto code = isSpent ? error_code::BudgetExceeded : error_code::Conflict;
+        return refuse(code, "the program has ended: " + p.endReason, "begin_turn", p.endReason);
+    }
+
     /// Refuses a turn that can't begin whatever its cost.
     std::optional<wire::command_result> refuseOrder(shard_state& state, program& p, const wire::begin_turn& command)
     {
@@ -267,7 +280,7 @@
         return answerCommitted(*p, command);
     }
     if (p->endedOrder != 0) {
-        return refuse(error_code::Conflict, "the program has ended: " + p->endReason, step, p->endReason);
+        return refuseEnded(*p);
     }
     if (p->underWay.turn != 0) {
         return answerUnderWay(*p, command);
@@ -275,7 +288,7 @@
     if (auto refusal = refuseOrder(state, *p, command)) {
         return *refusal;
     }
-    const auto worstCase = p->historyTokens + command.deltaTokens + command.maxCompletionTokens;
+    const auto worstCase = worstCaseOf(*p, command);
     if (worstCase > p->budgetTokens - p->usedTokens) {
         return refuseBudget(state, *p, worstCase);
     }
