--- a/libs/core/tests/controller_cluster.hpp
+++ b/libs/core/tests/controller_cluster.hpp
@@ -167,14 +167,18 @@
         return awaitResult(request);
     }
 
-    /// Calls an operator's method and waits for the reply.
-    core::reply_to_operator call(const std::string& controller, const std::string& method, const Json::Value& parameters)
+    /// Calls an operator's method and waits for the reply. None in 3 s: one that is not ok, with the code "no_reply".
+    core::reply_to_operator call(
+        const std::string& controller, const std::string& method, const Json::Value& parameters)
     {
         const auto exchange = startCall(controller, method, parameters);
         for (int i = 0; i < 300 && !operatorReplies.contains(exchange); ++i) {
             advance(std::chrono::milliseconds(10));
         }
-        return operatorReplies[exchange];
+        const auto reply = operatorReplies.find(exchange);
+        return reply != operatorReplies.end()
+            ? reply->second
+            : core::reply_to_operator { exchange, false, error_code::Timeout, R"({"code": "no_reply"})" };
     }
 
     core::exchange_id startCall(const std::string& controller, const std::string& method, const Json::Value& parameters)
