--- a/libs/core/tests/replica_network.cpp
+++ b/libs/core/tests/replica_network.cpp
@@ -41,89 +41,10 @@
             fmt::format("{} at {} ms: {}", node.name, network.now.time_since_epoch() / 1ms, what));
     }
 
-    //--------------------------------------------------------------------------------------------------------------
-    // The naive map
-    //--------------------------------------------------------------------------------------------------------------
-
-    std::pair<std::string, std::string> parseCommand(const std::string& payload)
-    {
-        const auto equals = payload.find('=');
-        return { payload.substr(0, equals), payload.substr(equals + 1) };
-    }
-
-    key_values naiveStateAt(const history& seen, std::uint64_t index)
-    {
-        key_values state;
-        for (const auto& [key, versions] : seen.versions) {
-            for (const auto& [written, value] : versions) {
-                if (written <= index) {
-                    state[key] = value;
-                }
-            }
-        }
-        return state;
-    }
-
-    void noteCommitted(replica_network& network, const test_node& node, const wire::log_entry& entry)
-    {
-        auto& seen = network.seen;
-        if (entry.index > seen.committed.size() + 1) {
-            violation(network, node, fmt::format("commits {} behind a gap", entry.index));
-            return;
-        }
-        if (entry.index <= seen.committed.size()) {
-            const auto& known = seen.committed[entry.index - 1];
-            if (known.term != entry.term || known.payload != entry.payload || known.kind != entry.kind) {
-                violation(network, node, fmt::format("commits another entry {} than before", entry.index));
-            }
-            return;
-        }
-        seen.committed.push_back(entry);
-        if (entry.kind == wire::log_entry_kind::Command) {
-            auto [key, value] = parseCommand(entry.payload);
-            seen.versions[key].emplace_back(entry.index, value);
-        }
-    }
-
     //--------------------------------------------------------------------------------------------------------------
     // Nodes
     //--------------------------------------------------------------------------------------------------------------
 
-    void applyToImage(replica_loaded& image, const persist_log& write, std::size_t steps)
-    {
-        if (write.hasHardState && steps > 0) {
-            image.term = write.term;
-            image.votedFor = write.votedFor;
-        }
-        const auto cutFrom = [&image](std::uint64_t index) {
-            while (!image.entries.empty() && image.entries.back().index >= index) {
-                image.entries.pop_back();
-            }
-        };
-        if (write.truncateFrom != 0 && steps > 1) {
-            cutFrom(write.truncateFrom);
-        }
-        for (std::size_t i = 0; i < write.entries.size() && i + 2 < steps; ++i) {
-            cutFrom(write.entries[i].index);
-            image.entries.push_back(write.entries[i]);
-        }
-        if (!write.hasSnapshot || steps < write.entries.size() + 3) {
-            return;
-        }
-        image.snapshotIndex = write.snapshotIndex;
-        image.snapshotTerm = write.snapshotTerm;
-        image.snapshotConfiguration = write.snapshotConfiguration;
-        image.snapshot = write.snapshot;
-        while (!image.entries.empty() && image.entries.front().index <= image.snapshotIndex) {
-            image.entries.erase(image.entries.begin());
-        }
-    }
-
-    std::size_t stepsOf(const persist_log& write)
-    {
-        return write.entries.size() + 3;
-    }
-
     void start(replica_network& network, test_node& node)
     {
         std::vector<std::string> names;
@@ -164,7 +85,9 @@
             }
         }
         for (const auto& entry : out.committed) {
-            noteCommitted(network, node, entry);
+            if (const std::string wrong = noteCommitted(network.seen, entry); !wrong.empty()) {
+                violation(network, node, wrong);
+            }
             if (entry.index != node.applied + 1) {
                 violation(network, node, fmt::format("applies {} after {}", entry.index, node.applied));
             }
@@ -233,10 +156,7 @@
             return;
         }
         const std::uint64_t ticket = node.disk.unsynced.back().ticket;
-        for (const auto& write : node.disk.unsynced) {
-            applyToImage(node.disk.image, write, stepsOf(write));
-        }
-        node.disk.unsynced.clear();
+        syncAll(node.disk);
         replica_output out;
         onPersisted(*node.process, { 0, ticket }, localTime(network, node), out);
         carryOut(network, node, out);
@@ -403,18 +323,7 @@
 void crash(replica_network& network, std::size_t i, std::chrono::milliseconds downTime)
 {
     auto& node = network.nodes.at(i);
-    auto& disk = node.disk;
-    const std::size_t whole = std::uniform_int_distribution<std::size_t>(0, disk.unsynced.size())(network.random);
-    for (std::size_t w = 0; w < whole; ++w) {
-        applyToImage(disk.image, disk.unsynced[w], stepsOf(disk.unsynced[w]));
-    }
-    if (whole < disk.unsynced.size()) {
-        const auto& torn = disk.unsynced[whole];
-        const auto steps = std::uniform_int_distribution<std::size_t>(0, stepsOf(torn) - 1)(network.random);
-        applyToImage(disk.image, torn, steps);
-    }
-    disk.unsynced.clear();
-    disk.image.isNew = false;
+    tear(node.disk, network.random);
     node.pending.clear();
     node.process.reset();
     node.downUntil = network.now + downTime;
--- a/libs/core/tests/replica_network.hpp
+++ b/libs/core/tests/replica_network.hpp
@@ -10,11 +10,12 @@
 
 #include <core/consensus/consensus.hpp>
 
+#include "naive_history.hpp"
+#include "test_disk.hpp"
+
 /// Replicas of one group in memory, with a network, disks and clocks that fail on demand. All time is manual.
 namespace cuminledge::core::consensus::test {
 
-using key_values = std::map<std::string, std::string>;
-
 /// How often things fail; chances for each step of 5 ms or each message.
 struct fault_rates {
     double dropMessage = 0;
@@ -37,13 +38,6 @@
 /// @return settings under which a short history passes through every mechanism.
 consensus_settings smallSettings();
 
-/// What is durable, and the writes that are not synced yet.
-struct test_disk {
-    replica_loaded image;
-    std::vector<persist_log> unsynced;
-    time_point syncedAt {};
-};
-
 struct pending_write {
     std::uint64_t index = 0;
     std::uint64_t term = 0;
@@ -69,16 +63,6 @@
     wire::consensus_envelope envelope;
 };
 
-/// The naive single map, and what any client may rely on.
-struct history {
-    std::vector<wire::log_entry> committed; ///< as first committed anywhere, index 1 first
-    std::map<std::string, std::vector<std::pair<std::uint64_t, std::string>>> versions; ///< of each key, by index
-    std::uint64_t visible = 0; ///< highest index behind an acknowledged write or a served read
-    std::uint64_t acknowledged = 0;
-    std::uint64_t readsServed = 0;
-    std::vector<std::string> violations;
-};
-
 struct replica_network {
     network_options options;
     std::mt19937_64 random;
