Hand over the leadership at random in the histories; check the settings' faults

Cause: a transfer skips the vote ban on purpose, and no history had one; readSettings() had no test.

--- a/libs/core/tests/replica_network.cpp
+++ b/libs/core/tests/replica_network.cpp
@@ -223,6 +223,17 @@
         return false;
     }
 
+    void handOver(replica_network& network, std::size_t i)
+    {
+        auto& node = network.nodes.at(i);
+        if (!isRunning(network, node) || !isLeader(*node.process)) {
+            return;
+        }
+        replica_output out;
+        transferLeadership(*node.process, localTime(network, node), out);
+        carryOut(network, node, out);
+    }
+
     void strike(replica_network& network, const fault_rates& faults)
     {
         const std::size_t victim = anyNode(network);
@@ -240,6 +251,9 @@
         if (happens(network, faults.freeze)) {
             network.nodes[anyNode(network)].frozenUntil = network.now + between(network, 50ms, 1500ms);
         }
+        if (happens(network, faults.transfer)) {
+            handOver(network, anyNode(network));
+        }
     }
 
 } // namespace
--- a/libs/core/tests/replica_network.hpp
+++ b/libs/core/tests/replica_network.hpp
@@ -25,6 +25,7 @@
     double loseDisk = 0; ///< of the crashes
     double cutOff = 0;
     double freeze = 0;
+    double transfer = 0; ///< the leader hands over
 };
 
 struct network_options {
--- a/libs/core/tests/test_consensus.cpp
+++ b/libs/core/tests/test_consensus.cpp
@@ -93,3 +93,27 @@
     }
     CHECK(statusOf(group.replicas.at(leader), group.now).survivesLoss == (size >= 3));
 }
+
+TEST_CASE("the settings are checked, and the lease is shorter than the election timeout", "[consensus]")
+{
+    const auto read = [](const std::string& text, std::vector<json_fault>& faults) {
+        const Json::Value document = parseJson(text, "test").value();
+        json_object_reader reader(document, "$.consensus", faults);
+        return readSettings(reader);
+    };
+    std::vector<json_fault> faults;
+    const auto settings = read(R"({"heartbeat_ms": 100, "election_timeout_min_ms": 1000,
+        "election_timeout_max_ms": 2000, "max_clock_drift": 0.01})",
+        faults);
+    CHECK(faults.empty());
+    CHECK(leaseDuration(settings) < 981ms);
+    CHECK(leaseDuration(settings) > 979ms);
+    read(R"({"heartbeat_ms": 200, "election_timeout_min_ms": 500, "election_timeout_max_ms": 400, "typo": 1})", faults);
+    std::vector<std::string> paths;
+    for (const auto& fault : faults) {
+        paths.push_back(fault.path);
+    }
+    CHECK(paths
+        == std::vector<std::string> { "$.consensus.election_timeout_min_ms", "$.consensus.election_timeout_max_ms",
+            "$.consensus.typo" });
+}
--- a/libs/core/tests/test_consensus_histories.cpp
+++ b/libs/core/tests/test_consensus_histories.cpp
@@ -29,6 +29,7 @@
     rates.loseDisk = seed % 2 == 0 ? upTo(0.5) : 0;
     rates.cutOff = upTo(0.01);
     rates.freeze = upTo(0.008);
+    rates.transfer = seed % 4 == 1 ? upTo(0.02) : 0;
     return rates;
 }
 
