Add the call path: the gateway's and the sidecar's parts of the reducer

Cause: a request could not go from a caller to a backend server. Change: the gateway checks, authenticates and routes a caller's request, begins and commits turns, records, dispatches and settles calls that may not be repeated, follows attempts at sidecars and retries or looks them up. The sidecar announces its backend server, keeps the attempt table, queue, histories and cache pins, and probes before it calls an engine dead. attempt_committed is new: only a committed answer may be kept as history beside the engine, as an attempt that lost contact may have made another one. Ruled out: a replicated record for calls outside of a program, since no later call can refer to them; their budget is checked at the gateway. Not yet: rate leases (all calls are admitted), the routing by predicted completion, tests.

--- /dev/null
+++ b/libs/core/src/gateway/authentication.cpp
@@ -0,0 +1,62 @@
+#include "authentication.hpp"
+
+#include <base/digest.hpp>
+
+#include "http_request.hpp"
+
+namespace cuminledge::core::gateway {
+
+namespace {
+
+    constexpr std::size_t maxKeyBytes = 256;
+
+    tl::unexpected<error> deny(const char* message)
+    {
+        return failure(error_code::Unauthenticated, message, "authenticate");
+    }
+
+    bool isSecretOf(const wire::key_record& record, std::string_view secret)
+    {
+        std::string salted = record.salt;
+        salted += secret;
+        return equalConstantTime(sha256Hex(salted), record.hash);
+    }
+
+} // namespace
+
+result<caller_identity> authenticate(const context& c, const caller_request& request)
+{
+    if (isDoubled(request, "authorization")) {
+        return deny("the Authorization header stands more than once");
+    }
+    const auto header = headerOf(request, "authorization");
+    if (!holdsConfiguration(c)) {
+        return failure(error_code::Unavailable, "the configuration lease of this gateway has run out", "authenticate");
+    }
+    if (!header) {
+        return caller_identity {};
+    }
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view value = *header;
+    if (!value.starts_with(scheme) || value.size() > scheme.size() + maxKeyBytes) {
+        return deny("expected the header \"Authorization: Bearer KEY\"");
+    }
+    const auto text = value.substr(scheme.size());
+    const auto dot = text.find('.');
+    if (dot == std::string_view::npos) {
+        return deny("the key is not valid");
+    }
+    const auto found = c.state.configuration.keys.find(std::string(text.substr(0, dot)));
+    if (found == c.state.configuration.keys.end() || found->second.withdrawn
+        || !isSecretOf(found->second, text.substr(dot + 1))) {
+        return deny("the key is not valid");
+    }
+    return caller_identity { found->first, found->second.account };
+}
+
+bool holdsConfiguration(const context& c)
+{
+    return c.state.configuration.manifest && c.now < c.state.configuration.leaseUntil;
+}
+
+} // namespace cuminledge::core::gateway
--- /dev/null
+++ b/libs/core/src/gateway/http_request.cpp
@@ -0,0 +1,99 @@
+#include "http_request.hpp"
+
+#include <algorithm>
+
+namespace cuminledge::core::gateway {
+
+namespace {
+
+    int hexValue(char digit)
+    {
+        if (digit >= '0' && digit <= '9') {
+            return digit - '0';
+        }
+        if (digit >= 'a' && digit <= 'f') {
+            return digit - 'a' + 10;
+        }
+        return digit >= 'A' && digit <= 'F' ? digit - 'A' + 10 : -1;
+    }
+
+    std::optional<std::string> decodeSegment(std::string_view coded)
+    {
+        std::string text;
+        for (std::size_t i = 0; i < coded.size(); ++i) {
+            if (coded[i] != '%') {
+                text += coded[i];
+                continue;
+            }
+            if (i + 2 >= coded.size()) {
+                return std::nullopt;
+            }
+            const int high = hexValue(coded[i + 1]);
+            const int low = hexValue(coded[i + 2]);
+            if (high < 0 || low < 0) {
+                return std::nullopt;
+            }
+            text += static_cast<char>(high * 16 + low);
+            i += 2;
+        }
+        if (text.empty() || text.size() > maxPathSegmentBytes) {
+            return std::nullopt;
+        }
+        return text;
+    }
+
+} // namespace
+
+std::optional<std::string> headerOf(const caller_request& request, std::string_view lowerCaseName)
+{
+    std::optional<std::string> value;
+    for (const auto& [name, text] : request.headers) {
+        if (name != lowerCaseName) {
+            continue;
+        }
+        if (value) {
+            return std::nullopt;
+        }
+        value = text;
+    }
+    return value;
+}
+
+bool isDoubled(const caller_request& request, std::string_view lowerCaseName)
+{
+    return std::count_if(request.headers.begin(), request.headers.end(),
+               [&](const auto& header) { return header.first == lowerCaseName; })
+        > 1;
+}
+
+std::optional<std::vector<std::string>> pathSegments(std::string_view target)
+{
+    if (target.empty() || target.front() != '/' || target.find_first_of("?#") != std::string_view::npos) {
+        return std::nullopt;
+    }
+    std::vector<std::string> segments;
+    constexpr std::size_t maxSegments = 8;
+    std::size_t start = 1;
+    while (start <= target.size()) {
+        const auto end = std::min(target.find('/', start), target.size());
+        auto segment = decodeSegment(target.substr(start, end - start));
+        if (!segment || segments.size() == maxSegments) {
+            return std::nullopt;
+        }
+        segments.push_back(std::move(*segment));
+        start = end + 1;
+    }
+    return segments;
+}
+
+bool isIdentifier(std::string_view text, std::size_t maximum)
+{
+    const auto allowed = [](char each) {
+        const bool letter = (each >= 'a' && each <= 'z') || (each >= 'A' && each <= 'Z');
+        const bool digit = each >= '0' && each <= '9';
+        return letter || digit || std::string_view("-_.:@").find(each) != std::string_view::npos;
+    };
+    return !text.empty() && text.size() <= maximum && std::all_of(text.begin(), text.end(), allowed);
+}
+
+} // namespace cuminledge::core::gateway
--- a/libs/wire/include/wire/attempt_messages.hpp
+++ b/libs/wire/include/wire/attempt_messages.hpp
@@ -141,6 +141,13 @@
     MSGPACK_DEFINE(program)
 };
 
+/// The attempt's answer was committed as the program's turn. Only then may its sidecar keep the text as history: an
+/// attempt that lost contact may have another answer than the one that was committed.
+struct attempt_committed {
+    std::string attempt;
+    MSGPACK_DEFINE(attempt)
+};
+
 } // namespace cuminledge::wire
 
 MSGPACK_ADD_ENUM(cuminledge::wire::attempt_outcome);
