Bind the reducer to sockets, timers and the disk: three programs and a local deployment

Cause: the modules of the reducer have to run as separate processes that talk over TCP. Ruled out: one thread for all work: a sync of the disk would hold up every message, so the disk has a thread of its own, whose batches share a sync.

--- a/libs/base/include/base/log.hpp
+++ b/libs/base/include/base/log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -30,9 +31,10 @@
  * Values with spaces, quotes or line breaks are quoted and escaped, so that a line stays one line.
  */
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields);
+void logEvent(log_level level, std::string_view event, std::span<const log_field> fields);
 
 /// @return the fields as `event=… key=value …`, without time, level and process.
-std::string formatLogLine(std::string_view event, std::initializer_list<log_field> fields);
+std::string formatLogLine(std::string_view event, std::span<const log_field> fields);
 
 /// @return "debug", "info", "warning" or "error".
 const char* toString(log_level level);
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -69,7 +69,7 @@
     return "info";
 }
 
-std::string formatLogLine(std::string_view event, std::initializer_list<log_field> fields)
+std::string formatLogLine(std::string_view event, std::span<const log_field> fields)
 {
     std::string line = "event=";
     line += event;
@@ -96,6 +96,11 @@
 }
 
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    logEvent(level, event, std::span<const log_field>(fields.begin(), fields.size()));
+}
+
+void logEvent(log_level level, std::string_view event, std::span<const log_field> fields)
 {
     spdlog::default_logger_raw()->log(toSpdlog(level), formatLogLine(event, fields));
 }
--- /dev/null
+++ b/libs/host/src/process.cpp
@@ -0,0 +1,477 @@
+// Before Asio: its 1.74 headers use std::exchange without including this.
+#include <utility>
+
+#include <host/process.hpp>
+
+#include <array>
+#include <chrono>
+#include <deque>
+#include <fstream>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <base/digest.hpp>
+#include <base/json.hpp>
+#include <base/log.hpp>
+#include <core/trace.hpp>
+#include <host/metrics.hpp>
+#include <net/http_client.hpp>
+#include <net/http_server.hpp>
+#include <net/peer_transport.hpp>
+#include <net/rpc_connector.hpp>
+
+#include "admin_listener.hpp"
+#include "disk.hpp"
+
+namespace cuminledge::host {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::chrono::milliseconds tickInterval { 10 };
+    constexpr std::uint8_t callerListenerNumber = 1;
+    constexpr std::uint8_t operatorListenerNumber = 3;
+    constexpr std::size_t seedBytes = 8;
+    constexpr std::size_t maxManifestRequestBytes = 20U << 20U; // the largest JSON document, quoted once more
+
+    /// A later start has a higher number, as long as the VM's wall clock does not go back past the earlier start.
+    std::uint64_t makeIncarnation()
+    {
+        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+    }
+
+    core::upstream_phase toCore(net::request_phase phase)
+    {
+        switch (phase) {
+        case net::request_phase::NotSent:
+            return core::upstream_phase::NotSent;
+        case net::request_phase::Sent:
+            return core::upstream_phase::Sent;
+        case net::request_phase::Answering:
+            return core::upstream_phase::Answering;
+        }
+        return core::upstream_phase::Sent;
+    }
+
+    net::http_server_settings makeCallerSettings(const process_settings& settings)
+    {
+        net::http_server_settings server;
+        server.address = settings.callerAddress;
+        server.listener = callerListenerNumber;
+        server.maxBodyBytes = settings.maxBodyBytes;
+        server.maxConnections = settings.maxConnections;
+        return server;
+    }
+
+    net::http_server_settings makeOperatorSettings(const process_settings& settings)
+    {
+        net::http_server_settings server;
+        server.address = settings.operatorAddress;
+        server.listener = operatorListenerNumber;
+        server.maxBodyBytes = maxManifestRequestBytes;
+        return server;
+    }
+
+    Json::Value describePeers(const net::peer_transport& transport)
+    {
+        Json::Value peers(Json::arrayValue);
+        for (const auto& counts : transport.counts()) {
+            Json::Value peer(Json::objectValue);
+            peer["peer"] = counts.peer;
+            peer["address"] = counts.address;
+            peer["incarnation"] = Json::UInt64(counts.incarnation);
+            peer["links"] = Json::UInt64(counts.links);
+            peer["send_queue_bytes"] = Json::UInt64(counts.sendQueueBytes);
+            peer["frames_in"] = Json::UInt64(counts.framesIn);
+            peer["frames_out"] = Json::UInt64(counts.framesOut);
+            peer["bytes_in"] = Json::UInt64(counts.bytesIn);
+            peer["bytes_out"] = Json::UInt64(counts.bytesOut);
+            peer["dropped"] = Json::UInt64(counts.dropped);
+            peer["silent"] = Json::UInt64(counts.silent);
+            peers.append(peer);
+        }
+        return peers;
+    }
+
+    Json::Value describeServer(const net::http_server_counts& counts)
+    {
+        Json::Value server(Json::objectValue);
+        server["connections"] = Json::UInt64(counts.connections);
+        server["exchanges"] = Json::UInt64(counts.exchanges);
+        server["send_buffer_bytes"] = Json::UInt64(counts.sendBufferBytes);
+        server["accepted"] = Json::UInt64(counts.accepted);
+        server["requests"] = Json::UInt64(counts.requests);
+        server["bad_requests"] = Json::UInt64(counts.badRequests);
+        server["gone"] = Json::UInt64(counts.gone);
+        server["slow_readers"] = Json::UInt64(counts.slowReaders);
+        return server;
+    }
+
+} // namespace
+
+//------------------------------------------------------------------------------------------------------------------
+// Set-up
+//------------------------------------------------------------------------------------------------------------------
+
+class process::impl {
+public:
+    impl(loaded_settings settings, const clock_source& clock)
+        : m_settings(std::move(settings.process))
+        , m_node(std::move(settings.node))
+        , m_clock(clock)
+        , m_signals(m_context)
+        , m_timer(m_context)
+    {
+    }
+
+    int run();
+
+    // Effects; each overload carries one out.
+    void carryOut(const core::connect_peer& e) { m_transport->connect(e.peer, e.address); }
+    void carryOut(const core::disconnect_peer& e) { m_transport->disconnect(e.peer); }
+    void carryOut(const core::send_message& e) { m_transport->send(e.peer, e.body); }
+    void carryOut(core::reply_to_caller& e)
+    {
+        m_callers->reply(e.exchange, { e.status, std::move(e.contentType), std::move(e.headers), std::move(e.body) });
+    }
+    void carryOut(const core::begin_stream& e) { m_callers->beginStream(e.exchange, e.headers); }
+    void carryOut(const core::stream_event& e) { m_callers->streamEvent(e.exchange, e.data); }
+    void carryOut(const core::end_stream& e) { m_callers->endStream(e.exchange); }
+    void carryOut(const core::abort_exchange& e) { m_callers->abort(e.exchange); }
+    void carryOut(const core::tag_connection& e) { m_callers->tagConnection(e.exchange, e.key); }
+    void carryOut(const core::close_key_connections& e) { m_callers->closeTagged(e.key); }
+    void carryOut(const core::reply_to_operator& e);
+    void carryOut(const core::reply_dump& e) { m_admin->reply(e.exchange, addHostState(e.body)); }
+    void carryOut(core::start_upstream& e);
+    void carryOut(const core::cancel_upstream& e) { m_client->cancel(e.request); }
+    void carryOut(core::persist_log& e) { m_disk->write(std::move(e)); }
+    void carryOut(const core::write_log& e);
+    void carryOut(const core::set_ready& e) { m_admin->setReady(e.ready, e.reason); }
+    void carryOut(const core::close_listeners&);
+    void carryOut(const core::stop_process& e);
+    void carryOut(const core::record_metric& e) { m_metrics.add(e.name, e.value, e.isDistribution); }
+
+private:
+    result<void> start();
+    result<void> openDisk();
+    void makeTransport();
+    void makeClient();
+    void makeCallers();
+    void makeOperators();
+    void happen(core::event event);
+    void drainEvents();
+    void scheduleTick();
+    void waitForSignal();
+    [[nodiscard]] std::string addHostState(const std::string& body) const;
+
+    process_settings m_settings;
+    core::node m_node;
+    const clock_source& m_clock;
+    asio::io_context m_context { 1 };
+    asio::signal_set m_signals;
+    asio::steady_timer m_timer;
+    metrics m_metrics;
+    std::uint64_t m_incarnation = makeIncarnation();
+    std::deque<core::event> m_events;
+    bool m_draining = false;
+    bool m_signalled = false;
+    int m_exitCode = 0;
+    std::ofstream m_trace;
+    std::unique_ptr<net::peer_transport> m_transport;
+    std::unique_ptr<net::http_client> m_client;
+    std::unique_ptr<net::http_server> m_callers;
+    std::unique_ptr<net::rpc_connector> m_operators;
+    std::unique_ptr<admin_listener> m_admin;
+    std::unique_ptr<disk> m_disk;
+};
+
+void process::impl::makeTransport()
+{
+    net::peer_transport_settings settings;
+    const auto& identity = m_settings.identity;
+    settings.self
+        = { identity.name, toString(m_settings.role), m_incarnation, identity.region, identity.failureDomain };
+    settings.secret = m_settings.secret;
+    settings.listenAddress = m_settings.peerAddress;
+    settings.seed = m_incarnation;
+    net::peer_transport_handlers handlers;
+    handlers.onConnected = [this](const net::peer_identity& peer) {
+        happen(core::peer_connected { peer.name, peer.role, peer.incarnation });
+    };
+    handlers.onDisconnected = [this](const std::string& peer, const std::string& reason) {
+        happen(core::peer_disconnected { peer, reason });
+    };
+    handlers.onMessage = [this](const std::string& peer, std::uint64_t incarnation, wire::message&& body) {
+        happen(core::peer_message { peer, incarnation, std::move(body) });
+    };
+    m_transport = std::make_unique<net::peer_transport>(m_context, m_clock, std::move(settings), std::move(handlers));
+}
+
+void process::impl::makeClient()
+{
+    net::http_client_handlers handlers;
+    handlers.onResponse = [this](const std::string& request, std::uint32_t status) {
+        happen(core::upstream_response { request, status });
+    };
+    handlers.onData = [this](const std::string& request, std::string&& data) {
+        happen(core::upstream_data { request, std::move(data) });
+    };
+    handlers.onFinished = [this](const std::string& request) { happen(core::upstream_finished { request }); };
+    handlers.onFailed = [this](const std::string& request, net::request_phase phase, const std::string& message) {
+        happen(core::upstream_failed { request, toCore(phase), message });
+    };
+    m_client = std::make_unique<net::http_client>(m_context, net::http_client_settings {}, std::move(handlers));
+}
+
+void process::impl::makeCallers()
+{
+    net::http_server_handlers handlers;
+    handlers.onRequest = [this](net::http_request&& request) {
+        happen(core::caller_request { request.exchange, request.connection, std::move(request.method),
+            std::move(request.target), std::move(request.headers), std::move(request.body) });
+    };
+    handlers.onGone = [this](std::uint64_t exchange, const std::string&) { happen(core::caller_gone { exchange }); };
+    m_callers = std::make_unique<net::http_server>(m_context, makeCallerSettings(m_settings), std::move(handlers));
+}
+
+void process::impl::makeOperators()
+{
+    net::rpc_connector_handlers handlers;
+    handlers.onCall = [this](std::uint64_t exchange, const std::string& method, const std::string& parameters) {
+        happen(core::operator_request { exchange, method, parameters });
+    };
+    handlers.onGone = [](std::uint64_t) {};
+    m_operators = std::make_unique<net::rpc_connector>(m_context, makeOperatorSettings(m_settings),
+        core::controller::operatorMethods(), std::move(handlers));
+}
+
+result<void> process::impl::openDisk()
+{
+    m_disk = std::make_unique<disk>(
+        m_settings.dataFolder, m_node.controller->settings.groupCount, [this](core::event event) {
+            asio::post(m_context, [this, event = std::move(event)]() mutable { happen(std::move(event)); });
+        });
+    auto loaded = m_disk->open();
+    if (!loaded) {
+        return tl::unexpected(loaded.error());
+    }
+    for (auto& replica : *loaded) {
+        m_events.emplace_back(std::move(replica));
+    }
+    return {};
+}
+
+result<void> process::impl::start()
+{
+    if (!m_settings.traceFile.empty()) {
+        m_trace.open(m_settings.traceFile, std::ios::binary | std::ios::trunc);
+        if (!m_trace) {
+            return failure(error_code::Storage, "cannot open " + m_settings.traceFile, "open_trace");
+        }
+    }
+    makeTransport();
+    makeClient();
+    m_admin = std::make_unique<admin_listener>(m_context, m_settings.adminAddress, m_metrics,
+        [this](core::exchange_id exchange) { happen(core::dump_requested { exchange }); });
+    if (m_settings.role == process_role::Gateway) {
+        makeCallers();
+    }
+    const auto seed = std::stoull(randomHex(seedBytes), nullptr, 16);
+    m_events.emplace_back(core::process_started { seed, m_incarnation });
+    if (m_settings.role == process_role::Controller) {
+        makeOperators();
+        if (auto opened = openDisk(); !opened) {
+            return opened;
+        }
+    }
+    const auto check = [](const result<std::uint16_t>& port) -> result<void> {
+        return port ? result<void> {} : result<void>(tl::unexpected(port.error()));
+    };
+    auto listening = check(m_transport->listen()).and_then([&] { return check(m_admin->listen()); });
+    if (listening && m_callers) {
+        listening = check(m_callers->listen());
+    }
+    if (listening && m_operators) {
+        listening = check(m_operators->listen());
+    }
+    return listening;
+}
+
+int process::impl::run()
+{
+    if (auto started = start(); !started) {
+        const auto& problem = started.error();
+        logEvent(log_level::Error, "start_failed",
+            { { "step", problem.step }, { "peer", problem.peer }, { "code", cuminledge::toString(problem.code) },
+                { "message", problem.message } });
+        return 1;
+    }
+    logEvent(log_level::Info, "started",
+        { { "role", toString(m_settings.role) }, { "version", CUMINLEDGE_VERSION },
+            { "incarnation", std::to_string(m_incarnation) }, { "peer_address", m_settings.peerAddress },
+            { "admin_address", m_settings.adminAddress } });
+    waitForSignal();
+    scheduleTick();
+    drainEvents();
+    m_context.run();
+    logEvent(log_level::Info, "stopped", { { "exit_code", std::to_string(m_exitCode) } });
+    return m_exitCode;
+}
+
+//------------------------------------------------------------------------------------------------------------------
+// Events
+//------------------------------------------------------------------------------------------------------------------
+
+void process::impl::happen(core::event event)
+{
+    m_events.push_back(std::move(event));
+    drainEvents();
+}
+
+void process::impl::drainEvents()
+{
+    // Carrying out an effect may cause an event; it waits until the effects before it are carried out.
+    if (m_draining) {
+        return;
+    }
+    m_draining = true;
+    core::effects caused;
+    while (!m_events.empty()) {
+        const auto event = std::move(m_events.front());
+        m_events.pop_front();
+        const auto now = m_clock.now();
+        caused.clear();
+        core::reduce(m_node, event, now, caused);
+        if (m_trace.is_open()) {
+            const auto record = core::encodeTraceRecord(now, event, caused);
+            m_trace.write(record.data(), static_cast<std::streamsize>(record.size()));
+        }
+        for (auto& effect : caused) {
+            std::visit([this](auto& one) { carryOut(one); }, effect);
+        }
+    }
+    m_draining = false;
+}
+
+void process::impl::scheduleTick()
+{
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const boost::system::error_code& failed) {
+        if (!failed) {
+            happen(core::tick {});
+            scheduleTick();
+        }
+    });
+}
+
+void process::impl::waitForSignal()
+{
+    if (!m_signalled) {
+        m_signals.add(SIGTERM);
+        m_signals.add(SIGINT);
+    }
+    m_signals.async_wait([this](const boost::system::error_code& failed, int number) {
+        if (failed) {
+            return;
+        }
+        logEvent(log_level::Info, "signal", { { "number", std::to_string(number) } });
+        happen(core::shutdown_requested { std::exchange(m_signalled, true) });
+        waitForSignal();
+    });
+}
+
+//------------------------------------------------------------------------------------------------------------------
+// Effects
+//------------------------------------------------------------------------------------------------------------------
+
+void process::impl::carryOut(const core::reply_to_operator& e)
+{
+    if (e.ok) {
+        m_operators->reply(e.exchange, e.body);
+    } else {
+        m_operators->replyError(e.exchange, e.code, e.body);
+    }
+}
+
+void process::impl::carryOut(core::start_upstream& e)
+{
+    net::client_request request;
+    request.request = std::move(e.request);
+    request.address = std::move(e.address);
+    request.method = std::move(e.method);
+    request.target = std::move(e.target);
+    request.headers = std::move(e.headers);
+    request.body = std::move(e.body);
+    request.eventStream = e.eventStream;
+    request.freshConnection = e.freshConnection;
+    request.silenceTimeout = e.silenceTimeout;
+    m_client->start(std::move(request));
+}
+
+void process::impl::carryOut(const core::write_log& e)
+{
+    std::vector<log_field> fields;
+    fields.reserve(e.fields.size());
+    for (const auto& [key, value] : e.fields) {
+        fields.emplace_back(key, value);
+    }
+    logEvent(e.level, e.event, std::span<const log_field>(fields));
+}
+
+std::string process::impl::addHostState(const std::string& body) const
+{
+    auto state = parseJson(body, "dump");
+    if (!state || !state->isObject()) {
+        return body;
+    }
+    auto& host = (*state)["host"];
+    host["version"] = CUMINLEDGE_VERSION;
+    host["incarnation"] = Json::UInt64(m_incarnation);
+    host["peers"] = describePeers(*m_transport);
+    if (m_callers) {
+        host["callers"] = describeServer(m_callers->counts());
+    }
+    const auto upstream = m_client->counts();
+    host["upstream"]["under_way"] = Json::UInt64(upstream.underWay);
+    host["upstream"]["pooled"] = Json::UInt64(upstream.pooled);
+    host["upstream"]["started"] = Json::UInt64(upstream.started);
+    host["upstream"]["failed"] = Json::UInt64(upstream.failed);
+    return writeJson(*state);
+}
+
+void process::impl::carryOut(const core::close_listeners&)
+{
+    if (m_callers) {
+        m_callers->closeListener();
+    }
+    if (m_operators) {
+        m_operators->closeListener();
+    }
+}
+
+void process::impl::carryOut(const core::stop_process& e)
+{
+    m_exitCode = e.exitCode;
+    m_context.stop();
+}
+
+//------------------------------------------------------------------------------------------------------------------
+
+process::process(loaded_settings settings, const clock_source& clock)
+    : m_impl(std::make_unique<impl>(std::move(settings), clock))
+{
+}
+
+process::~process() = default;
+
+int process::run()
+{
+    return m_impl->run();
+}
+
+} // namespace cuminledge::host
--- /dev/null
+++ b/libs/host/src/program.cpp
@@ -0,0 +1,98 @@
+#include <host/program.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <cxxopts.hpp>
+
+#include <core/version.hpp>
+#include <host/process.hpp>
+
+namespace cuminledge::host {
+
+namespace {
+
+    constexpr int exitFailed = 1;
+    constexpr int exitUsage = 2;
+
+    cxxopts::Options makeOptions(const std::string& program, process_role role)
+    {
+        cxxopts::Options options(program, "The " + std::string(toString(role)) + " of cuminledge.");
+        auto add = options.add_options();
+        add("config", "settings file (JSON)", cxxopts::value<std::string>(), "FILE");
+        add("check", "check the settings and exit");
+        add("replay", "replay a recorded trace against these settings and exit", cxxopts::value<std::string>(), "FILE");
+        add("help", "print this help");
+        add("version", "print the version");
+        return options;
+    }
+
+    int replay(core::node& node, const std::string& file)
+    {
+        std::ifstream stream(file, std::ios::binary);
+        if (!stream) {
+            std::cerr << "cannot open " << file << "\n";
+            return exitUsage;
+        }
+        std::ostringstream text;
+        text << stream.rdbuf();
+        const auto report = core::replayTrace(node, text.str());
+        if (!report) {
+            std::cerr << describe(report.error()) << "\n";
+            return exitFailed;
+        }
+        std::cout << "events=" << report->events << " differences=" << report->differences
+                  << " first_difference=" << report->firstDifference << "\n";
+        return report->differences == 0 ? 0 : exitFailed;
+    }
+
+    int runWith(process_role role, const cxxopts::ParseResult& arguments)
+    {
+        auto loaded = loadSettings(arguments["config"].as<std::string>(), role);
+        if (!loaded) {
+            std::cerr << describe(loaded.error()) << "\n";
+            return exitUsage;
+        }
+        if (arguments.count("check") != 0) {
+            std::cout << "settings are valid\n";
+            return 0;
+        }
+        if (arguments.count("replay") != 0) {
+            return replay(loaded->node, arguments["replay"].as<std::string>());
+        }
+        startLog(loaded->process.identity.name, loaded->process.level);
+        const monotonic_clock clock;
+        process self(std::move(*loaded), clock);
+        return self.run();
+    }
+
+} // namespace
+
+int runProgram(process_role role, int argc, char** argv)
+{
+    auto options = makeOptions("cuminledge-" + std::string(toString(role)), role);
+    try {
+        const auto arguments = options.parse(argc, argv);
+        if (arguments.count("help") != 0) {
+            std::cout << options.help();
+            return 0;
+        }
+        if (arguments.count("version") != 0) {
+            std::cout << core::version() << "\n";
+            return 0;
+        }
+        if (!arguments.unmatched().empty() || arguments.count("config") == 0) {
+            std::cerr << "--config FILE is needed, and nothing beside the options\n"
+                      << options.help();
+            return exitUsage;
+        }
+        return runWith(role, arguments);
+    } catch (const cxxopts::exceptions::exception& e) {
+        std::cerr << e.what() << "\n"
+                  << options.help();
+        return exitUsage;
+    }
+}
+
+} // namespace cuminledge::host
--- /dev/null
+++ b/tools/sidecar/main.cpp
@@ -0,0 +1,6 @@
+#include <host/program.hpp>
+
+int main(int argc, char** argv)
+{
+    return cuminledge::host::runProgram(cuminledge::host::process_role::Sidecar, argc, argv);
+}
