--- a/libs/core/include/core/manifest/manifest.hpp
+++ b/libs/core/include/core/manifest/manifest.hpp
@@ -26,7 +26,7 @@
 /// Which client accounts may use a route or a service.
 struct account_set {
     bool all = false;
-    std::vector<std::string> ids; ///< where not all
+    std::vector<std::string> ids; ///< where not all; sorted
 };
 
 /// A model, and which of its versions may be used.
@@ -62,7 +62,7 @@
     std::vector<operation> operations;
 };
 
-/// A whole manifest that has passed every check.
+/// A whole manifest that has passed every check. Every list is sorted by id or name, as the lookups below need it.
 struct manifest {
     std::uint64_t number = 0; ///< grows by each acceptance
     std::vector<client_account> clientAccounts;
--- a/libs/core/src/manifest/manifest.cpp
+++ b/libs/core/src/manifest/manifest.cpp
@@ -194,12 +194,36 @@
         return m;
     }
 
+    /// @param name the member that the elements are sorted by.
     template <typename Element>
-    const Element* findByName(const std::vector<Element>& elements, std::string_view name)
+    void sortBy(std::vector<Element>& elements, std::string Element::*name)
     {
-        const auto found = std::find_if(
-            elements.begin(), elements.end(), [name](const Element& element) { return element.name == name; });
-        return found == elements.end() ? nullptr : &*found;
+        std::sort(elements.begin(), elements.end(),
+            [name](const Element& left, const Element& right) { return left.*name < right.*name; });
+    }
+
+    /// Gateways look accounts and routes up for every call, among thousands.
+    template <typename Element>
+    const Element* findSorted(const std::vector<Element>& elements, std::string Element::*name, std::string_view wanted)
+    {
+        const auto found = std::lower_bound(elements.begin(), elements.end(), wanted,
+            [name](const Element& element, std::string_view value) { return element.*name < value; });
+        return found == elements.end() || (*found).*name != wanted ? nullptr : &*found;
+    }
+
+    void sortAll(manifest& m)
+    {
+        sortBy(m.clientAccounts, &client_account::id);
+        sortBy(m.routes, &route::name);
+        sortBy(m.services, &service::name);
+        for (auto& r : m.routes) {
+            std::sort(r.clientAccounts.ids.begin(), r.clientAccounts.ids.end());
+            sortBy(r.models, &model_access::model);
+        }
+        for (auto& s : m.services) {
+            std::sort(s.clientAccounts.ids.begin(), s.clientAccounts.ids.end());
+            sortBy(s.operations, &operation::name);
+        }
     }
 
     std::string_view modelOf(std::string_view modelAndVersion)
@@ -216,9 +240,7 @@
 
     const model_access* findModel(const route& r, std::string_view model)
     {
-        const auto found = std::find_if(
-            r.models.begin(), r.models.end(), [model](const model_access& access) { return access.model == model; });
-        return found == r.models.end() ? nullptr : &*found;
+        return findSorted(r.models, &model_access::model, model);
     }
 
     bool allowsVersion(const model_access& access, std::string_view version)
@@ -249,34 +271,33 @@
     if (!faults.empty()) {
         return tl::unexpected(std::move(faults));
     }
+    sortAll(m);
     return m;
 }
 
 const client_account* findAccount(const manifest& m, std::string_view id)
 {
-    const auto found = std::find_if(m.clientAccounts.begin(), m.clientAccounts.end(),
-        [id](const client_account& account) { return account.id == id; });
-    return found == m.clientAccounts.end() ? nullptr : &*found;
+    return findSorted(m.clientAccounts, &client_account::id, id);
 }
 
 const route* findRoute(const manifest& m, std::string_view name)
 {
-    return findByName(m.routes, name);
+    return findSorted(m.routes, &route::name, name);
 }
 
 const service* findService(const manifest& m, std::string_view name)
 {
-    return findByName(m.services, name);
+    return findSorted(m.services, &service::name, name);
 }
 
 const operation* findOperation(const service& s, std::string_view name)
 {
-    return findByName(s.operations, name);
+    return findSorted(s.operations, &operation::name, name);
 }
 
 bool contains(const account_set& accounts, std::string_view account)
 {
-    return accounts.all || std::find(accounts.ids.begin(), accounts.ids.end(), account) != accounts.ids.end();
+    return accounts.all || std::binary_search(accounts.ids.begin(), accounts.ids.end(), account);
 }
 
 bool allowsModel(const route& r, std::string_view modelAndVersion)
--- a/libs/core/tests/test_controller_failover.cpp
+++ b/libs/core/tests/test_controller_failover.cpp
@@ -41,7 +41,7 @@
 std::string acceptAsOperator(controller_cluster& cluster, const std::string& text)
 {
     for (int i = 0; i < 50; ++i) {
-        const auto code = codeOf(cluster.call(cluster.awaitLeader(0), "manifest.accept", documentOf(text)));
+        auto code = codeOf(cluster.call(cluster.awaitLeader(0), "manifest.accept", documentOf(text)));
         if (code == "ok" || code == "conflict") {
             return code;
         }
--- a/libs/core/tests/test_store_properties.cpp
+++ b/libs/core/tests/test_store_properties.cpp
@@ -305,7 +305,7 @@
 /// Lacks the memory of which attempt committed a turn: a resent commit charges again.
 wire::command_result applyChargingAgain(shard_state& state, const wire::command& command)
 {
-    const auto outcome = applyCommand(state, command);
+    auto outcome = applyCommand(state, command);
     const auto* commit = std::get_if<wire::commit_turn>(&command);
     if (commit != nullptr && !isRefusal(outcome)) {
         state.programs.at(commit->program).usedTokens += 1;
