Feed the controller random bytes; mend a lint fault in the differential test

Cause: bad input at a controller's listeners had no test; the linter refused a concatenation in a test. Change: 2,000 seeded inputs to each of peers' requests, consensus envelopes and operators' parameters: each gets a refusal, no log entry is made and the controller goes on.

--- a/libs/core/tests/test_controller.cpp
+++ b/libs/core/tests/test_controller.cpp
@@ -1,5 +1,7 @@
 #include <core/controller/controller.hpp>
 
+#include <algorithm>
+#include <random>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -282,3 +284,37 @@
     CHECK(bodyOf(reply)["groups"][0]["survives_loss"] == true);
     CHECK(bodyOf(reply)["groups"][0]["replicas"].size() == 3);
 }
+
+TEST_CASE("random bytes from peers and operators are refused and change nothing")
+{
+    constexpr std::uint64_t seed = 12;
+    constexpr int inputCount = 2000;
+    CAPTURE(seed);
+    controller_cluster cluster(1, 1, seed);
+    std::mt19937_64 random(seed);
+    const auto leader = cluster.awaitLeader(0);
+    cluster.awaitLeader(1);
+    const auto before = cluster.stateOf(leader).groups.at(1).replica.log.entries.size();
+    const auto& methods = core::controller::operatorMethods();
+    for (int i = 0; i < inputCount; ++i) {
+        std::string bytes(random() % 40, ' ');
+        std::generate(bytes.begin(), bytes.end(), [&random] { return static_cast<char>(random()); });
+        const auto request = static_cast<std::uint64_t>(i) + 1;
+        cluster.happen(leader,
+            core::peer_message { "gw", 1, wire::controller_request { request, 1, random() % 2 == 0, bytes } });
+        cluster.happen(leader, core::peer_message { "c9", 1, wire::consensus_envelope { 1, "c9#1", "c1#1", bytes } });
+        cluster.happen(leader, core::operator_request { request, methods[random() % methods.size()], bytes });
+        CHECK_FALSE(cluster.operatorReplies.at(request).ok);
+    }
+    cluster.deliver();
+    std::size_t refusals = 0;
+    for (const auto& message : cluster.inbox) {
+        const auto* response = std::get_if<wire::controller_response>(&message.body);
+        const auto outcome = response == nullptr
+            ? result<wire::command_result>(wire::acknowledged {})
+            : wire::decodeVariant<wire::command_result>(response->body, "test", "");
+        refusals += outcome && std::holds_alternative<wire::refused>(*outcome) ? 1U : 0U;
+    }
+    CHECK(refusals == inputCount);
+    CHECK(cluster.stateOf(leader).groups.at(1).replica.log.entries.size() == before);
+}
--- a/libs/core/tests/test_store_differential.cpp
+++ b/libs/core/tests/test_store_differential.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 using namespace cuminledge;
 using namespace cuminledge::core::store;
@@ -224,8 +225,7 @@
         const auto got = codeOf(applyCommand(state, command));
         const auto& p = state.programs.at("p");
         if (got != expected || p.usedTokens != naive.used() || p.turns.size() != naive.committedTurns()) {
-            return "command " + std::to_string(i) + " of kind " + std::to_string(command.index()) + ": " + got
-                + ", expected " + expected;
+            return fmt::format("command {} of kind {}: {}, expected {}", i, command.index(), got, expected);
         }
     }
     return std::nullopt;
