Give callers keys in the form that the gateway reads

Cause: cuminledgectl printed cl_ID_SECRET, the gateway reads ID.SECRET; every issued key was refused. Found by a trial with real processes: the deployment never came to know its keys. Change: cuminledgectl prints ID.SECRET.

--- a/tools/cuminledgectl/src/commands.cpp
+++ b/tools/cuminledgectl/src/commands.cpp
@@ -187,7 +187,7 @@
             return exitUnknown;
         }
         Json::Value body;
-        body["key"] = "cl_" + id + "_" + secret;
+        body["key"] = id + "." + secret;
         body["key_id"] = id;
         body["account"] = c.arguments[0];
         print(c, body);
--- a/tools/cuminledgectl/tests/test_commands.cpp
+++ b/tools/cuminledgectl/tests/test_commands.cpp
@@ -62,8 +62,8 @@
     REQUIRE(ran.status == exitDone);
     const auto shown = *parseJson(ran.out, "test");
     const auto key = shown["key"].asString();
-    const auto secret = key.substr(key.rfind('_') + 1);
-    CHECK(key == "cl_" + shown["key_id"].asString() + "_" + secret);
+    const auto secret = key.substr(key.rfind('.') + 1);
+    CHECK(key == shown["key_id"].asString() + "." + secret);
     CHECK(writeJson(ran.sent).find(secret) == std::string::npos);
     CHECK(ran.sent["hash"] == sha256Hex(ran.sent["salt"].asString() + secret));
 }
