Spend leased tokens and choose backend servers by predicted completion

Cause: the call path admitted every call and took the server with the least in flight. Change: calls spend tokens of the gateway's rate leases, wait for the authority and are refused only by its answer; the choice of a backend server, ejection and load reports go through the routing table. The engine's cache is listed every 10 s, since a release may overtake a cancellation.

--- a/libs/core/include/core/gateway/gateway.hpp
+++ b/libs/core/include/core/gateway/gateway.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -13,7 +14,9 @@
 #include <core/gateway/call.hpp>
 #include <core/gateway/gateway_settings.hpp>
 #include <core/identity.hpp>
+#include <core/limits/lease_holder.hpp>
 #include <core/manifest/manifest.hpp>
+#include <core/routing/backend_table.hpp>
 
 /// The gateway's part of the reducer: callers' HTTP interface, authentication, and the path of a call from its
 /// admission to its answer.
@@ -27,7 +30,6 @@
     std::uint64_t connectedIncarnation = 0;
     std::uint32_t inFlight = 0; ///< attempts of this gateway
     wire::load_report load;
-    time_point avoidUntil; ///< after a failure
 };
 
 /// What configuration polls brought. Nothing of it is used for new keyed work once the lease has run out.
@@ -82,6 +84,7 @@
     controller_client::client_state controllers;
     configuration_state configuration;
     std::map<std::string, backend_entry> backends; ///< by backend id
+    routing::backend_table routes; ///< what the choice of a backend server reads
     std::unordered_map<std::string, std::string> backendOfSidecar; ///< peer name to backend id
     std::map<std::uint64_t, call> calls;
     std::unordered_map<exchange_id, std::uint64_t> callOfExchange;
@@ -89,6 +92,8 @@
     std::unordered_map<std::string, std::uint64_t> callOfAttempt;
     std::set<std::uint64_t> outcomeCalls; ///< calls in step Outcome
     std::unordered_map<std::string, known_program> programs; ///< bounded; emptied when full
+    limits::lease_holder rate;
+    std::map<std::string, std::deque<std::uint64_t>> rateQueues; ///< calls that wait for a token, by client account
     std::unordered_map<std::string, double> retryTokens; ///< by client account
     std::uint64_t nextCall = 1;
     time_point nextSweepAt;
--- a/libs/core/include/core/sidecar/history_store.hpp
+++ b/libs/core/include/core/sidecar/history_store.hpp
@@ -46,6 +46,9 @@
 std::string joinMessages(
     history_store& store, const std::string& key, std::uint32_t turns, const std::string& newMessages);
 
+/// Forgets the programs of that id, whosever they are.
+void forgetProgramOfAnyAccount(history_store& store, const std::string& program);
+
 /// Forgets a program.
 void forgetProgram(history_store& store, const std::string& key);
 
--- a/libs/core/include/core/sidecar/sidecar.hpp
+++ b/libs/core/include/core/sidecar/sidecar.hpp
@@ -87,6 +87,7 @@
     std::string listingBody;
     std::uint32_t listingStatus = 0;
     time_point nextCacheCheckAt;
+    time_point nextListingAt;
     time_point nextSweepAt;
     std::set<std::string> gateways; ///< connected peers that are not controllers
     bool shuttingDown = false;
--- a/libs/core/src/gateway/attempts.cpp
+++ b/libs/core/src/gateway/attempts.cpp
@@ -48,6 +48,7 @@
         const auto found = c.state.backends.find(subject.run.backend);
         if (found != c.state.backends.end()) {
             found->second.load = load;
+            routing::onLoadReport(c.state.routes, subject.run.backend, load, c.now);
         }
     }
 
@@ -135,6 +136,21 @@
         return start;
     }
 
+    void noteEnd(context& c, const std::string& backend, attempt_end end)
+    {
+        switch (end) {
+        case attempt_end::Finished:
+            routing::onAttemptFinished(c.state.routes, backend);
+            return;
+        case attempt_end::Failed:
+            routing::onAttemptFailed(c.state.routes, backend, c.now);
+            return;
+        case attempt_end::Dropped:
+            routing::onAttemptDropped(c.state.routes, backend);
+            return;
+        }
+    }
+
     /// The caller has been told all that is certain; the call itself goes on until its outcome is known.
     void refuseAsUnknown(context& c, call& subject)
     {
@@ -224,6 +240,8 @@
     subject.lastAttempt = subject.run.attempt;
     subject.run.progressBy = c.now + confirmTimeout;
     c.state.callOfAttempt[subject.run.attempt] = subject.id;
+    routing::onAttemptStarted(
+        c.state.routes, subject.run.backend, subject.begun.historyTokens + subject.deltaTokens);
     ++c.state.counters.attemptsStarted;
     if (subject.attemptsMade == 1) {
         earnRetries(c.state, subject.account);
@@ -231,7 +249,7 @@
     c.out.emplace_back(send_message { subject.run.sidecar, describeAttempt(c, subject) });
 }
 
-void releaseBackend(context& c, call& subject)
+void releaseBackend(context& c, call& subject, attempt_end end)
 {
     if (subject.run.backend.empty()) {
         return;
@@ -243,6 +261,7 @@
     }
     if (!subject.run.attempt.empty()) {
         c.state.callOfAttempt.erase(subject.run.attempt);
+        noteEnd(c, backend, end);
     }
     const bool started = subject.run.started;
     subject.run = {};
@@ -400,7 +419,7 @@
     if (subject.suspect) {
         commandDetached(c, wire::clear_fingerprint { subject.fingerprint, false }, "clear_fingerprint");
     }
-    releaseBackend(c, subject);
+    releaseBackend(c, subject, attempt_end::Finished);
     if (subject.kind == call_kind::Chat) {
         finishChat(c, subject, done);
     } else {
@@ -479,11 +498,6 @@
     if (subject.repeatable) {
         c.out.emplace_back(send_message { subject.run.sidecar, wire::attempt_cancel { subject.run.attempt } });
     }
-    const auto found = c.state.backends.find(subject.run.backend);
-    if (found != c.state.backends.end()) {
-        constexpr std::chrono::milliseconds avoidance { 5'000 };
-        found->second.avoidUntil = c.now + avoidance;
-    }
     if (isDue(subject, c.now)) {
         subject.cancelled = true;
         refusal r = refusalOf(error { error_code::Timeout, lost.message, lost.step, subject.run.sidecar },
--- a/libs/core/src/gateway/attempts.hpp
+++ b/libs/core/src/gateway/attempts.hpp
@@ -18,8 +18,15 @@
 /// Sends the attempt to the backend server in `run`.
 void sendAttempt(context& c, call& subject);
 
+/// How an attempt ended, as far as its backend server is concerned.
+enum class attempt_end : std::uint8_t {
+    Finished,
+    Failed, ///< through the server's fault
+    Dropped ///< refused as not run, or cancelled
+};
+
 /// The attempt in `run` is over: its backend server has one less in flight.
-void releaseBackend(context& c, call& subject);
+void releaseBackend(context& c, call& subject, attempt_end end = attempt_end::Dropped);
 
 /// Ends a call without an answer: settles what it holds, and refuses a waiting caller.
 void failCall(context& c, call& subject, refusal why);
--- a/libs/core/src/gateway/authentication.cpp
+++ b/libs/core/src/gateway/authentication.cpp
@@ -1,6 +1,7 @@
 #include "authentication.hpp"
 
 #include <base/digest.hpp>
+#include <core/caller_key.hpp>
 
 #include "http_request.hpp"
 
@@ -15,13 +16,6 @@
         return failure(error_code::Unauthenticated, message, "authenticate");
     }
 
-    bool isSecretOf(const wire::key_record& record, std::string_view secret)
-    {
-        std::string salted = record.salt;
-        salted += secret;
-        return equalConstantTime(sha256Hex(salted), record.hash);
-    }
-
 } // namespace
 
 result<caller_identity> authenticate(const context& c, const caller_request& request)
@@ -41,14 +35,11 @@
     if (!value.starts_with(scheme) || value.size() > scheme.size() + maxKeyBytes) {
         return deny("expected the header \"Authorization: Bearer KEY\"");
     }
-    const auto text = value.substr(scheme.size());
-    const auto dot = text.find('.');
-    if (dot == std::string_view::npos) {
-        return deny("the key is not valid");
-    }
-    const auto found = c.state.configuration.keys.find(std::string(text.substr(0, dot)));
-    if (found == c.state.configuration.keys.end() || found->second.withdrawn
-        || !isSecretOf(found->second, text.substr(dot + 1))) {
+    const auto key = splitCallerKey(value.substr(scheme.size()));
+    const auto found = c.state.configuration.keys.find(std::string(key.id));
+    const bool valid = found != c.state.configuration.keys.end() && !found->second.withdrawn
+        && equalConstantTime(hashCallerKey(found->second.salt, key.secret), found->second.hash);
+    if (!valid) {
         return deny("the key is not valid");
     }
     return caller_identity { found->first, found->second.account };
--- a/libs/core/src/gateway/choose.cpp
+++ b/libs/core/src/gateway/choose.cpp
@@ -2,79 +2,98 @@
 
 #include <algorithm>
 
+#include <core/routing/choose_backend.hpp>
+
 namespace cuminledge::core::gateway {
 
 namespace {
 
-    bool runs(const context& c, const backend_entry& entry, const call& subject)
+    bool isService(const call& subject)
     {
-        const auto& models = entry.record.models;
-        if (subject.kind == call_kind::Service) {
-            return entry.record.kind == wire::backend_kind::Service
-                && std::find(models.begin(), models.end(), subject.service) != models.end();
-        }
-        if (entry.record.kind != wire::backend_kind::Engine || !c.state.configuration.manifest) {
-            return false;
-        }
-        const auto* route = manifest::findRoute(*c.state.configuration.manifest, subject.route);
-        return route != nullptr && std::any_of(models.begin(), models.end(), [&](const std::string& announced) {
-            return manifest::servesModel(*route, subject.model, announced);
-        });
+        return subject.kind == call_kind::Service;
     }
 
-    bool isCandidate(const context& c, const backend_entry& entry, const call& subject)
+    /// @return whether a server that announces `announced` runs what the call asks for.
+    bool serves(const context& c, const call& subject, const std::string& announced)
     {
-        return entry.announced && entry.connected && !entry.record.draining
-            && entry.connectedIncarnation == entry.record.incarnation && runs(c, entry, subject);
+        if (isService(subject)) {
+            return announced == subject.service;
+        }
+        const auto& manifest = c.state.configuration.manifest;
+        const auto* route = manifest ? manifest::findRoute(*manifest, subject.route) : nullptr;
+        return route != nullptr && manifest::servesModel(*route, subject.model, announced);
     }
 
-    /// Lower is better. Least in flight; the program's home goes before others that are not far less busy.
-    struct backend_rank {
-        bool avoided = false;
-        bool lastTried = false;
-        std::int64_t load = 0;
-        bool elsewhere = false;
+    /// A server without a connection, or whose sidecar has restarted since it was announced, gets nothing.
+    bool isReachable(const backend_entry& entry, const call& subject)
+    {
+        const bool isKind = (entry.record.kind == wire::backend_kind::Service) == isService(subject);
+        return isKind && entry.announced && entry.connected && !entry.record.draining
+            && entry.connectedIncarnation == entry.record.incarnation;
+    }
 
-        [[nodiscard]] auto key() const { return std::tie(avoided, lastTried, load, elsewhere); }
-    };
+    routing::route_request describe(const context& c, const call& subject)
+    {
+        routing::route_request request;
+        request.home = subject.begun.home;
+        request.historyTokens = subject.begun.historyTokens;
+        request.deltaTokens = subject.deltaTokens;
+        request.expectedTokens = subject.maxTokens;
+        for (const auto& [backend, entry] : c.state.backends) {
+            if (!isReachable(entry, subject)) {
+                request.exclude.push_back(backend);
+            }
+        }
+        return request;
+    }
 
-    backend_rank rankOf(const context& c, const backend_entry& entry, const call& subject)
+    /// @return the best of the servers that announce the model in any of the versions that fit.
+    routing::backend_index choose(context& c, const call& subject, routing::route_request request)
     {
-        constexpr std::int64_t homeAdvantage = 4;
-        backend_rank rank;
-        rank.avoided = c.now < entry.avoidUntil;
-        rank.lastTried = entry.record.backend == subject.lastBackend && subject.attemptsMade > 0;
-        rank.load = entry.inFlight + entry.load.waiting;
-        if (entry.record.backend == subject.begun.home) {
-            rank.load -= homeAdvantage;
+        routing::backend_choice best;
+        for (const auto& [announced, places] : c.state.routes.byModel) {
+            if (!serves(c, subject, announced)) {
+                continue;
+            }
+            request.model = announced;
+            const auto choice = routing::chooseBackend(c.state.routes, request, c.now, c.random);
+            const bool found = choice.index != routing::noBackend;
+            if (found && (best.index == routing::noBackend || choice.predicted < best.predicted)) {
+                best = choice;
+            }
         }
-        rank.elsewhere = entry.record.failureDomain != c.state.identity.failureDomain;
-        return rank;
+        return best.index;
     }
 
 } // namespace
 
 backend_entry* chooseBackend(context& c, const call& subject)
 {
-    backend_entry* best = nullptr;
-    backend_rank bestRank;
-    for (auto& [id, entry] : c.state.backends) {
-        if (!isCandidate(c, entry, subject)) {
-            continue;
-        }
-        const auto rank = rankOf(c, entry, subject);
-        if (best == nullptr || rank.key() < bestRank.key()) {
-            best = &entry;
-            bestRank = rank;
-        }
+    auto request = describe(c, subject);
+    auto index = routing::noBackend;
+    if (subject.attemptsMade > 0) {
+        auto elsewhere = request;
+        elsewhere.exclude.push_back(subject.lastBackend);
+        index = choose(c, subject, std::move(elsewhere));
+    }
+    if (index == routing::noBackend) {
+        index = choose(c, subject, std::move(request));
+    }
+    if (index == routing::noBackend) {
+        return nullptr;
     }
-    return best;
+    const auto found = c.state.backends.find(c.state.routes.details[index].backend);
+    return found == c.state.backends.end() ? nullptr : &found->second;
 }
 
 bool hasCandidate(const context& c, const call& subject)
 {
-    return std::any_of(c.state.backends.begin(), c.state.backends.end(),
-        [&](const auto& each) { return isCandidate(c, each.second, subject); });
+    return std::any_of(c.state.backends.begin(), c.state.backends.end(), [&](const auto& each) {
+        const auto& models = each.second.record.models;
+        return isReachable(each.second, subject)
+            && std::any_of(models.begin(), models.end(),
+                [&](const std::string& announced) { return serves(c, subject, announced); });
+    });
 }
 
 } // namespace cuminledge::core::gateway
--- a/libs/core/src/gateway/configuration.cpp
+++ b/libs/core/src/gateway/configuration.cpp
@@ -4,7 +4,6 @@
 
 #include <core/group.hpp>
 
-#include "attempts.hpp"
 #include "lifecycle.hpp"
 
 namespace cuminledge::core::gateway {
@@ -98,6 +97,7 @@
 
     void applyMembership(context& c, const wire::config_update& update)
     {
+        routing::applyMembership(c.state.routes, update.backends, update.membershipComplete, c.now);
         std::set<std::string> present;
         for (const auto& record : update.backends) {
             if (record.withdrawn) {
--- a/libs/core/src/gateway/context.cpp
+++ b/libs/core/src/gateway/context.cpp
@@ -4,6 +4,8 @@
 
 #include <core/store/group.hpp>
 
+#include "rate.hpp"
+
 namespace cuminledge::core::gateway {
 
 std::string randomId(std::mt19937_64& random)
@@ -74,6 +76,9 @@
 
 void finishCall(context& c, call& subject)
 {
+    if (subject.step == call_step::Rate) {
+        leaveRateQueue(c, subject);
+    }
     if (subject.controllerRequest != 0) {
         controller_client::forget(c.state.controllers, subject.controllerRequest);
         c.state.callOfRequest.erase(subject.controllerRequest);
--- a/libs/core/src/gateway/gateway.cpp
+++ b/libs/core/src/gateway/gateway.cpp
@@ -7,6 +7,7 @@
 #include "dump.hpp"
 #include "lifecycle.hpp"
 #include "program_calls.hpp"
+#include "rate.hpp"
 #include "service_calls.hpp"
 #include "turns.hpp"
 
@@ -90,6 +91,8 @@
             }
         }
         void operator()(const wire::config_update& m) const { onConfigUpdate(c, peer, m); }
+        void operator()(const wire::rate_lease_grant& m) const { onRateGrant(c, peer, m); }
+        void operator()(const wire::rate_lease_recall& m) const { onRateRecall(c, m); }
         void operator()(const wire::attempt_started& m) const { onAttemptStarted(c, peer, m); }
         void operator()(const wire::attempt_chunk& m) const { onAttemptChunk(c, peer, m); }
         void operator()(const wire::attempt_done& m) const { onAttemptDone(c, peer, m); }
@@ -110,6 +113,9 @@
         {
             c.state.identity.incarnation = e.incarnation;
             c.state.controllers.controllers = c.state.settings.controllers;
+            c.state.rate = limits::makeLeaseHolder(e.incarnation);
+            c.state.routes
+                = routing::makeBackendTable(c.state.identity.region, c.state.identity.failureDomain);
             controller_client::start(c.state.controllers, c.out);
         }
 
@@ -172,6 +178,8 @@
 {
     context c { state, now, random, out };
     std::visit(event_visitor { c }, e);
+    // Whatever the event was, it may have spent tokens.
+    sendRateRequests(c);
 }
 
 } // namespace cuminledge::core::gateway
--- a/libs/core/src/gateway/lifecycle.cpp
+++ b/libs/core/src/gateway/lifecycle.cpp
@@ -2,6 +2,7 @@
 
 #include "attempts.hpp"
 #include "authentication.hpp"
+#include "rate.hpp"
 #include "refusal.hpp"
 #include "service_calls.hpp"
 #include "turns.hpp"
@@ -65,6 +66,13 @@
     void sweepCall(context& c, call& subject)
     {
         switch (subject.step) {
+        case call_step::Rate:
+            if (c.now >= subject.startBy) {
+                refuseAndFinish(c, subject,
+                    refusalOf(error { error_code::Unavailable, "the rate authority did not answer in time", "rate", {} },
+                        ran_state::NotRun));
+            }
+            return;
         case call_step::Backend:
             if (c.now >= subject.resumeAt) {
                 resume(c, subject);
@@ -194,6 +202,7 @@
     const bool idle = state.calls.empty() && state.controllers.pending.empty();
     if (idle) {
         state.shutdown = shutdown_phase::Stopped;
+        returnRateTokens(c);
         c.out.emplace_back(stop_process { 0 });
     } else if (c.now >= state.shutdownStepAt) {
         beginShutdown(c, true);
--- a/libs/core/src/gateway/rate.cpp
+++ b/libs/core/src/gateway/rate.cpp
@@ -1,6 +1,11 @@
 #include "rate.hpp"
 
+#include <algorithm>
+
+#include <core/group.hpp>
+
 #include "attempts.hpp"
+#include "refusal.hpp"
 #include "service_calls.hpp"
 #include "turns.hpp"
 
@@ -20,11 +25,116 @@
         }
     }
 
+    void refuse(context& c, call& subject, error_code code, const char* message, std::chrono::milliseconds retryAfter)
+    {
+        refusal r;
+        r.code = code;
+        r.message = message;
+        r.step = "rate";
+        r.retryAfter = std::max(retryAfter, std::chrono::milliseconds(1));
+        refuseAndFinish(c, subject, r);
+    }
+
+    void send(context& c, const std::vector<wire::rate_lease_request>& requests)
+    {
+        for (auto request : requests) {
+            request.group = groupOfAccount(request.account, c.state.configuration.groupCount);
+            const auto target = controller_client::targetOf(c.state.controllers, request.group);
+            if (!target.empty()) {
+                c.out.emplace_back(send_message { target, std::move(request) });
+            }
+        }
+    }
+
+    /// @return the call of the account that has waited longest, taken out of the queue; null where none waits.
+    call* takeWaiting(context& c, const std::string& account)
+    {
+        const auto queue = c.state.rateQueues.find(account);
+        if (queue == c.state.rateQueues.end()) {
+            return nullptr;
+        }
+        const auto id = queue->second.front();
+        queue->second.pop_front();
+        if (queue->second.empty()) {
+            c.state.rateQueues.erase(queue);
+        }
+        return &c.state.calls.at(id);
+    }
+
 } // namespace
 
 void requestRate(context& c, call& subject)
 {
-    goOn(c, subject);
+    const auto spent = limits::trySpend(c.state.rate, subject.account, c.now);
+    switch (spent.decision) {
+    case limits::spend_decision::Admitted:
+        goOn(c, subject);
+        return;
+    case limits::spend_decision::Waiting:
+        subject.step = call_step::Rate;
+        c.state.rateQueues[subject.account].push_back(subject.id);
+        return;
+    case limits::spend_decision::Refused:
+        refuse(c, subject, error_code::RateLimited, "the client account's rate is used up", spent.retryAfter);
+        return;
+    case limits::spend_decision::Overloaded:
+        refuse(c, subject, error_code::Overloaded, "too many calls of the client account wait here", spent.retryAfter);
+        return;
+    }
+}
+
+void leaveRateQueue(context& c, call& subject)
+{
+    const auto queue = c.state.rateQueues.find(subject.account);
+    if (queue == c.state.rateQueues.end()) {
+        return;
+    }
+    auto& waiting = queue->second;
+    const auto place = std::find(waiting.begin(), waiting.end(), subject.id);
+    if (place == waiting.end()) {
+        return;
+    }
+    waiting.erase(place);
+    if (waiting.empty()) {
+        c.state.rateQueues.erase(queue);
+    }
+    limits::cancelWaiting(c.state.rate, subject.account);
+}
+
+void sendRateRequests(context& c)
+{
+    send(c, limits::collectRequests(c.state.rate, c.now));
+}
+
+void onRateGrant(context& c, const std::string& peer, const wire::rate_lease_grant& grant)
+{
+    const auto group = groupOfAccount(grant.account, c.state.configuration.groupCount);
+    if (grant.notLeader) {
+        controller_client::noteNotLeader(c.state.controllers, group, peer, grant.leader);
+    } else {
+        controller_client::noteLeader(c.state.controllers, group, peer);
+    }
+    const auto outcome = limits::onRateGrant(c.state.rate, grant, c.now);
+    for (std::int64_t i = 0; i < outcome.admitted; ++i) {
+        if (auto* subject = takeWaiting(c, grant.account)) {
+            goOn(c, *subject);
+        }
+    }
+    for (std::int64_t i = 0; i < outcome.refused; ++i) {
+        if (auto* subject = takeWaiting(c, grant.account)) {
+            refuse(c, *subject, error_code::RateLimited, "the client account's rate is used up", outcome.retryAfter);
+        }
+    }
+}
+
+void onRateRecall(context& c, const wire::rate_lease_recall& recall)
+{
+    send(c, limits::onRateRecall(c.state.rate, recall, c.now));
+}
+
+void returnRateTokens(context& c)
+{
+    send(c, limits::returnAll(c.state.rate, c.now));
 }
 
 } // namespace cuminledge::core::gateway
--- a/libs/core/src/gateway/retries.cpp
+++ b/libs/core/src/gateway/retries.cpp
@@ -58,7 +58,6 @@
     {
         constexpr std::uint32_t maxDoublings = 6;
         const auto doublings = std::min(subject.attemptsMade - 1, maxDoublings);
-        releaseBackend(c, subject);
         subject.step = call_step::Backend;
         subject.resumeAt = c.now + jittered(c.state.settings.retryPause * (1U << doublings), c.random);
         subject.startBy = std::max(subject.startBy, std::min(subject.deadline, c.now + c.state.settings.queueTimeout));
@@ -73,10 +72,10 @@
     subject.lastError = { codeOf(failed), failed.message, failed.step, subject.run.sidecar };
     logCall(c, log_level::Info, "attempt_failed", subject,
         { { "attempt", failed.attempt }, { "backend", subject.run.backend }, { "reason", failed.message } });
+    const bool proved = failed.outcome == wire::attempt_outcome::NotRun;
+    releaseBackend(c, subject, proved || subject.cancelled ? attempt_end::Dropped : attempt_end::Failed);
     if (!subject.repeatable) {
-        const bool proved = failed.outcome == wire::attempt_outcome::NotRun;
         subject.mayHaveRun = !proved;
-        releaseBackend(c, subject);
         settleCall(c, subject, proved ? wire::call_state::NotRun : wire::call_state::Unknown);
         return;
     }
--- a/libs/core/src/sidecar/cache_release.cpp
+++ b/libs/core/src/sidecar/cache_release.cpp
@@ -11,6 +11,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds cacheCheckInterval { 1'000 };
+    constexpr std::chrono::milliseconds listingInterval { 10'000 };
     constexpr std::chrono::milliseconds askAfterIdle { 5'000 };
     constexpr std::chrono::milliseconds orderTimeout { 5'000 };
     constexpr std::size_t askAtOnce = 256;
@@ -110,17 +111,10 @@
 
 void onProgramEnded(context& c, const std::string& program)
 {
-    std::vector<std::string> keys;
-    bool underWay = false;
-    for (const auto& [attempt, entry] : c.state.attempts) {
-        if (entry.start.program == program) {
-            keys.push_back(historyKey(entry.start.account, program));
-            underWay = underWay || entry.phase != attempt_phase::Finished;
-        }
-    }
-    for (const auto& key : keys) {
-        forgetProgram(c.state.histories, key);
-    }
+    forgetProgramOfAnyAccount(c.state.histories, program);
+    const bool underWay = std::any_of(c.state.attempts.begin(), c.state.attempts.end(), [&](const auto& each) {
+        return each.second.start.program == program && each.second.phase != attempt_phase::Finished;
+    });
     if (underWay) {
         c.state.endedKnown.insert(program);
         return;
@@ -203,7 +197,10 @@
     }
     c.state.nextCacheCheckAt = c.now + cacheCheckInterval;
     orderReleases(c, cache::dueReleases(c.state.pins, c.now));
-    if (c.state.pins.resyncNeeded && c.state.health.incarnation != 0) {
+    // A release and a cancellation may overtake each other on their ways, so what is held is listed now and then.
+    const bool due = c.state.pins.resyncNeeded || c.now >= c.state.nextListingAt;
+    if (due && c.state.health.incarnation != 0) {
+        c.state.nextListingAt = c.now + listingInterval;
         listCache(c);
     }
     if (c.state.endedReads.empty()) {
--- a/libs/core/src/sidecar/history_store.cpp
+++ b/libs/core/src/sidecar/history_store.cpp
@@ -86,6 +86,20 @@
     return messages;
 }
 
+void forgetProgramOfAnyAccount(history_store& store, const std::string& program)
+{
+    const auto suffix = historyKey("", program);
+    std::vector<std::string> keys;
+    for (const auto& [key, history] : store.programs) {
+        if (key.ends_with(suffix)) {
+            keys.push_back(key);
+        }
+    }
+    for (const auto& key : keys) {
+        forgetProgram(store, key);
+    }
+}
+
 void forgetProgram(history_store& store, const std::string& key)
 {
     const auto found = store.programs.find(key);
