--- /dev/null
+++ b/libs/core/tests/call_path_world.hpp
@@ -0,0 +1,718 @@
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <json/value.h>
+
+#include <base/digest.hpp>
+#include <core/caller_key.hpp>
+#include <core/gateway/gateway.hpp>
+#include <core/limits/rate_authority.hpp>
+#include <core/sidecar/sidecar.hpp>
+#include <core/store/control_state.hpp>
+#include <core/store/group.hpp>
+#include <core/store/shard_state.hpp>
+
+/// Gateways, sidecars, one controller that never fails and stand-ins for engines and services, joined in memory under
+/// manual time. Faults are ordered by the tests or drawn from a seed.
+namespace cuminledge::core::testing {
+
+using std::chrono::milliseconds;
+
+struct world_faults {
+    unsigned doubledPercent = 0; ///< of messages from sidecars and the controller
+    unsigned lostPercent = 0; ///< of messages to and from the controller
+    milliseconds maxDelay { 5 };
+};
+
+/// What a caller has got for one request.
+struct caller_result {
+    unsigned replies = 0; ///< whole answers, and ends and aborts of streams
+    std::uint32_t status = 0;
+    std::string contentType;
+    std::string body;
+    std::string streamed; ///< content of the chunks, joined
+    bool streamEnded = false;
+    bool done = false; ///< "[DONE]" has come
+    bool aborted = false;
+    bool tagged = false;
+    header_list headers;
+
+    [[nodiscard]] Json::Value json() const
+    {
+        auto parsed = parseJson(body, "test");
+        return parsed ? *parsed : Json::Value();
+    }
+};
+
+class call_path_world {
+public:
+    explicit call_path_world(std::uint64_t seed)
+        : random(seed)
+    {
+        wire::accept_manifest accept;
+        accept.number = 1;
+        accept.document = manifestText(false);
+        accept.digest = sha256Hex(accept.document);
+        store::applyCommand(control, wire::command(accept));
+        issueKey("ka", "a");
+        issueKey("kb", "b");
+        for (const auto* account : { "a", "b" }) {
+            limits::setAccountLimit(authority, account, { 100'000, 100'000 }, now);
+        }
+        limits::startLeading(authority, 1, now);
+    }
+
+    //--------------------------------------------------------------------------------------------------------------
+    // Set-up
+    //--------------------------------------------------------------------------------------------------------------
+
+    /// @param repeatable marks the operation "pay" as repeatable: the variant without idempotency records.
+    static std::string manifestText(bool repeatable)
+    {
+        return std::string(R"({"number": 1, "client_accounts": [
+            {"id": "a", "rate_per_second": 100000, "burst": 100000},
+            {"id": "b", "rate_per_second": 100000, "burst": 100000}],
+            "routes": [{"name": "chat", "client_accounts": ["a", "b"], "models": [{"model": "m"}], "max_tokens": 64,
+                "budget_tokens": 100000, "max_turns": 50, "idle_timeout_ms": 600000}],
+            "services": [{"name": "ledger", "client_accounts": "all", "operations": [
+                {"name": "pay", "repeatable": )")
+            + (repeatable ? "true" : "false") + R"(, "timeout_ms": 20000},
+                {"name": "read", "repeatable": true, "timeout_ms": 20000}]}]})";
+    }
+
+    void acceptManifest(const std::string& document, std::uint64_t number)
+    {
+        control.manifest = document;
+        control.manifestNumber = number;
+    }
+
+    void issueKey(const std::string& key, const std::string& account)
+    {
+        store::applyCommand(
+            control, wire::command(wire::issue_key { key, account, "salt", hashCallerKey("salt", "secret-" + key) }));
+    }
+
+    void addGateway(const std::string& name)
+    {
+        auto& p = processes[name];
+        p.name = name;
+        p.isGateway = true;
+        start(p);
+    }
+
+    void addSidecar(const std::string& name, wire::backend_kind kind)
+    {
+        auto& p = processes[name];
+        p.name = name;
+        p.kind = kind;
+        start(p);
+    }
+
+    //--------------------------------------------------------------------------------------------------------------
+    // Callers
+    //--------------------------------------------------------------------------------------------------------------
+
+    exchange_id request(const std::string& gatewayName, const std::string& method, const std::string& target,
+        const std::string& body, std::vector<std::pair<std::string, std::string>> headers = {},
+        const std::string& key = "ka")
+    {
+        caller_request r;
+        r.exchange = ++lastExchange;
+        r.connection = r.exchange;
+        r.method = method;
+        r.target = target;
+        r.headers = std::move(headers);
+        if (!key.empty()) {
+            r.headers.emplace_back("authorization", "Bearer " + key + ".secret-" + key);
+        }
+        r.body = body;
+        results[r.exchange];
+        give(processes.at(gatewayName), r);
+        return r.exchange;
+    }
+
+    exchange_id chat(const std::string& gatewayName, const std::string& program, unsigned turn, const std::string& text,
+        bool stream = true, const std::string& key = "ka")
+    {
+        std::vector<std::pair<std::string, std::string>> headers;
+        if (!program.empty()) {
+            headers = { { "cuminledge-program", program }, { "cuminledge-turn", std::to_string(turn) } };
+        }
+        const auto body = R"({"model":"m","messages":[{"role":"user","content":")" + text + R"("}],"stream":)"
+            + (stream ? "true}" : "false}");
+        return request(gatewayName, "POST", "/v1/chat/completions", body, headers, key);
+    }
+
+    exchange_id pay(const std::string& gatewayName, const std::string& call, const std::string& key = "ka")
+    {
+        return request(gatewayName, "POST", "/v1/services/ledger/pay", R"({"amount":1})",
+            { { "idempotency-key", call } }, key);
+    }
+
+    std::string openProgram(const std::string& gatewayName, const std::string& key = "ka")
+    {
+        const auto exchange = request(gatewayName, "POST", "/v1/programs", R"({"route":"chat"})", {}, key);
+        advance(milliseconds(200));
+        return results.at(exchange).json()["id"].asString();
+    }
+
+    void callerGone(const std::string& gatewayName, exchange_id exchange)
+    {
+        give(processes.at(gatewayName), caller_gone { exchange });
+    }
+
+    //--------------------------------------------------------------------------------------------------------------
+    // Faults
+    //--------------------------------------------------------------------------------------------------------------
+
+    void kill(const std::string& name)
+    {
+        auto& p = processes.at(name);
+        p.alive = false;
+        p.gateway.reset();
+        p.sidecar.reset();
+        p.wanted.clear();
+        dropLinks(name);
+    }
+
+    void restart(const std::string& name) { start(processes.at(name)); }
+
+    /// SIGTERM.
+    void leave(const std::string& name) { give(processes.at(name), shutdown_requested {}); }
+
+    /// Both ends notice at once; the connection comes back after `outage`.
+    void cutLink(const std::string& left, const std::string& right, milliseconds outage)
+    {
+        dropLink(left, right);
+        blockedUntil[linkOf(left, right)] = now + outage;
+    }
+
+    /// The engine or service of the sidecar dies and comes back at once; what it had begun is done or not, by `ran`.
+    void crashBackend(const std::string& sidecarName)
+    {
+        ++engineIncarnation[sidecarName];
+        std::vector<std::string> failing;
+        for (auto& u : upstreams) {
+            if (u.sidecar == sidecarName && u.open && u.request.request != "probe") {
+                u.open = false;
+                failing.push_back(u.request.request);
+            }
+        }
+        for (const auto& each : failing) {
+            give(processes.at(sidecarName), upstream_failed { each, upstream_phase::Answering, "reset" });
+        }
+    }
+
+    //--------------------------------------------------------------------------------------------------------------
+    // Time
+    //--------------------------------------------------------------------------------------------------------------
+
+    void advance(milliseconds span)
+    {
+        constexpr milliseconds step { 5 };
+        for (auto until = now + span; now < until;) {
+            now += step;
+            connect();
+            deliver();
+            runUpstreams();
+            for (auto& [name, p] : processes) {
+                if (p.alive) {
+                    give(p, tick {});
+                }
+            }
+            serveRates();
+            if (onStep) {
+                onStep();
+            }
+        }
+    }
+
+    [[nodiscard]] bool isHeld(const std::string& gatewayName) const
+    {
+        const auto& g = *processes.at(gatewayName).gateway;
+        return !g.calls.empty() || !g.callOfExchange.empty() || !g.callOfAttempt.empty() || !g.callOfRequest.empty()
+            || !g.outcomeCalls.empty() || !g.rateQueues.empty();
+    }
+
+    gateway::gateway_state& gatewayOf(const std::string& name) { return *processes.at(name).gateway; }
+    sidecar::sidecar_state& sidecarOf(const std::string& name) { return *processes.at(name).sidecar; }
+
+    struct process {
+        std::string name;
+        bool isGateway = false;
+        bool alive = false;
+        wire::backend_kind kind = wire::backend_kind::Engine;
+        std::uint64_t incarnation = 0;
+        std::mt19937_64 random;
+        std::unique_ptr<gateway::gateway_state> gateway;
+        std::unique_ptr<sidecar::sidecar_state> sidecar;
+        std::set<std::string> wanted; ///< peers it keeps a connection to
+        std::vector<effect> seen; ///< effects kept for tests that look for one
+    };
+
+    struct upstream {
+        std::string sidecar;
+        start_upstream request;
+        bool open = true; ///< the sidecar still listens
+        bool executed = false;
+        bool answered = false;
+        time_point nextAt;
+        std::vector<std::string> pieces;
+        std::size_t next = 0;
+    };
+
+    std::mt19937_64 random;
+    time_point now { std::chrono::hours(1) };
+    world_faults faults;
+    std::map<std::string, process> processes;
+    std::map<exchange_id, caller_result> results;
+    std::map<std::string, unsigned> executions; ///< of services, by "account/call"
+    std::vector<std::string> prompts; ///< messages that engines were given
+    std::map<std::string, wire::backend_record> announced;
+    store::shard_state shard;
+    store::control_state control;
+    limits::rate_authority authority;
+    bool controllerAnswers = true;
+    milliseconds serviceTime { 20 };
+    milliseconds pieceTime { 10 };
+    std::function<void()> onStep;
+    std::function<bool(const std::string& from, const std::string& to, const wire::message&)> dropMessage;
+    std::map<std::string, std::uint64_t> engineIncarnation;
+    std::vector<upstream> upstreams;
+    unsigned keyInUpstream = 0; ///< exchanges with a backend server that held a caller's key
+    unsigned cancelledUpstreams = 0;
+
+private:
+    struct flight {
+        time_point at;
+        std::uint64_t epoch = 0;
+        std::string from;
+        std::string to;
+        wire::message body;
+    };
+
+    static constexpr const char* controllerName = "controller-1";
+
+    static std::pair<std::string, std::string> linkOf(const std::string& a, const std::string& b)
+    {
+        return a < b ? std::pair(a, b) : std::pair(b, a);
+    }
+
+    void start(process& p)
+    {
+        p.alive = true;
+        ++p.incarnation;
+        p.random.seed(random());
+        process_identity identity { p.name, "r", "fd", p.incarnation };
+        if (p.isGateway) {
+            p.gateway = std::make_unique<gateway::gateway_state>();
+            p.gateway->identity = identity;
+            p.gateway->settings.controllers = { { controllerName, "c:1" } };
+        } else {
+            p.sidecar = std::make_unique<sidecar::sidecar_state>();
+            p.sidecar->identity = identity;
+            auto& settings = p.sidecar->settings;
+            settings.controllers = { { controllerName, "c:1" } };
+            settings.backend = "be-" + p.name;
+            settings.kind = p.kind;
+            settings.backendAddress = "b:" + p.name;
+            settings.peerAddress = p.name;
+            settings.models = { p.kind == wire::backend_kind::Engine ? "m" : "ledger" };
+            settings.cacheTokens = 100'000;
+            engineIncarnation.try_emplace(p.name, 1);
+        }
+        give(p, process_started { 1, p.incarnation });
+    }
+
+    //--------------------------------------------------------------------------------------------------------------
+    // Network
+    //--------------------------------------------------------------------------------------------------------------
+
+    bool exists(const std::string& name)
+    {
+        const auto found = processes.find(name);
+        return name == controllerName || (found != processes.end() && found->second.alive);
+    }
+
+    void connect()
+    {
+        for (auto& [name, p] : processes) {
+            const auto wanted = p.wanted;
+            for (const auto& peer : wanted) {
+                const auto link = linkOf(name, peer);
+                if (!p.alive || links.contains(link) || !exists(peer) || now < blockedUntil[link]) {
+                    continue;
+                }
+                links[link] = ++lastEpoch;
+                const auto peerIncarnation = peer == controllerName ? 1 : processes.at(peer).incarnation;
+                if (peer != controllerName) {
+                    give(processes.at(peer), peer_connected { name, "gateway", p.incarnation });
+                }
+                give(p, peer_connected { peer, "", peerIncarnation });
+            }
+        }
+    }
+
+    void dropLink(const std::string& left, const std::string& right)
+    {
+        if (links.erase(linkOf(left, right)) == 0) {
+            return;
+        }
+        for (const auto& [here, there] : { std::pair(left, right), std::pair(right, left) }) {
+            const auto found = processes.find(here);
+            if (found != processes.end() && found->second.alive) {
+                give(found->second, peer_disconnected { there, "cut" });
+            }
+        }
+    }
+
+    void dropLinks(const std::string& name)
+    {
+        std::vector<std::pair<std::string, std::string>> found;
+        for (const auto& [link, epoch] : links) {
+            if (link.first == name || link.second == name) {
+                found.push_back(link);
+            }
+        }
+        for (const auto& [left, right] : found) {
+            dropLink(left, right);
+        }
+        for (auto& u : upstreams) {
+            u.open = u.open && u.sidecar != name;
+        }
+    }
+
+    bool chance(unsigned percent) { return percent > 0 && random() % 100 < percent; }
+
+    void post(const std::string& from, const std::string& to, wire::message body)
+    {
+        const auto link = links.find(linkOf(from, to));
+        const bool withController = from == controllerName || to == controllerName;
+        if (link == links.end() || (withController && chance(faults.lostPercent))
+            || (dropMessage && dropMessage(from, to, body))) {
+            return;
+        }
+        // Everything passes through its coded form.
+        auto decoded = wire::decodeVariant<wire::message>(wire::encodeVariant(body), "test", from);
+        const auto delay
+            = milliseconds(1 + static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(faults.maxDelay.count())));
+        const auto at = std::max(now + delay, lastArrival[{ from, to }]);
+        lastArrival[{ from, to }] = at;
+        flights.push_back({ at, link->second, from, to, *decoded });
+        if (chance(faults.doubledPercent)) {
+            flights.push_back({ at + delay * 3, link->second, from, to, std::move(*decoded) });
+        }
+    }
+
+    void deliver()
+    {
+        std::vector<flight> due;
+        std::vector<flight> later;
+        for (auto& f : flights) {
+            (f.at <= now ? due : later).push_back(std::move(f));
+        }
+        flights = std::move(later);
+        std::stable_sort(due.begin(), due.end(), [](const flight& a, const flight& b) { return a.at < b.at; });
+        for (auto& f : due) {
+            const auto link = links.find(linkOf(f.from, f.to));
+            if (link == links.end() || link->second != f.epoch) {
+                continue;
+            }
+            if (f.to == controllerName) {
+                serve(f.from, f.body);
+            } else {
+                const auto incarnation = f.from == controllerName ? 1 : processes.at(f.from).incarnation;
+                give(processes.at(f.to), peer_message { f.from, incarnation, std::move(f.body) });
+            }
+        }
+    }
+
+    //--------------------------------------------------------------------------------------------------------------
+    // Controller
+    //--------------------------------------------------------------------------------------------------------------
+
+    void serve(const std::string& from, const wire::message& body)
+    {
+        if (!controllerAnswers) {
+            return;
+        }
+        if (const auto* m = std::get_if<wire::controller_request>(&body)) {
+            post(controllerName, from, answerTo(*m));
+        } else if (const auto* poll = std::get_if<wire::config_poll>(&body)) {
+            post(controllerName, from, configurationFor(*poll));
+        } else if (const auto* announcement = std::get_if<wire::announce_backend>(&body)) {
+            wire::announce_response response;
+            response.request = announcement->request;
+            response.accepted = true;
+            response.lease = milliseconds(3'000);
+            announced[announcement->backend.backend] = announcement->backend;
+            if (announcement->leaving) {
+                announced.erase(announcement->backend.backend);
+            }
+            post(controllerName, from, response);
+        } else if (const auto* rate = std::get_if<wire::rate_lease_request>(&body)) {
+            limits::onRateRequest(authority, from, *rate, now, authorityOutput);
+        }
+    }
+
+    wire::controller_response answerTo(const wire::controller_request& m)
+    {
+        wire::controller_response response;
+        response.request = m.request;
+        response.group = m.group;
+        if (m.isQuery) {
+            const auto read = wire::decodeVariant<wire::query>(m.body, "test", "");
+            response.body = wire::encodeVariant(store::query(shard, *read));
+        } else {
+            const auto command = wire::decodeVariant<wire::command>(m.body, "test", "");
+            response.body = wire::encodeVariant(
+                m.group == 0 ? store::applyCommand(control, *command) : store::applyCommand(shard, *command));
+        }
+        return response;
+    }
+
+    wire::config_update configurationFor(const wire::config_poll& poll)
+    {
+        wire::config_update update;
+        update.request = poll.request;
+        update.lease = milliseconds(2'000);
+        update.manifestNumber = control.manifestNumber;
+        update.manifest = poll.manifestNumber == control.manifestNumber ? "" : control.manifest;
+        update.keysComplete = true;
+        for (const auto& [id, record] : control.keys) {
+            if (!record.withdrawn) {
+                update.keys.push_back(record);
+            }
+        }
+        update.membershipComplete = true;
+        for (const auto& [id, record] : announced) {
+            update.backends.push_back(record);
+        }
+        update.quarantineComplete = true;
+        for (const auto& [fingerprint, crash] : control.crashes) {
+            if (!crash.cleared) {
+                update.quarantine.push_back({ fingerprint, crash.account,
+                    static_cast<std::uint32_t>(crash.deaths.size()), crash.quarantined, false });
+            }
+        }
+        return update;
+    }
+
+    void serveRates()
+    {
+        limits::tickAuthority(authority, now, authorityOutput);
+        while (!authorityOutput.reservations.empty()) {
+            const auto reservations = std::exchange(authorityOutput.reservations, {});
+            for (const auto& each : reservations) {
+                limits::onReservationApplied(authority, each, now, authorityOutput);
+            }
+        }
+        for (const auto& [peer, grant] : std::exchange(authorityOutput.grants, {})) {
+            post(controllerName, peer, grant);
+        }
+        for (const auto& [peer, recall] : std::exchange(authorityOutput.recalls, {})) {
+            post(controllerName, peer, recall);
+        }
+    }
+
+    //--------------------------------------------------------------------------------------------------------------
+    // Backend servers
+    //--------------------------------------------------------------------------------------------------------------
+
+    void runUpstreams()
+    {
+        for (std::size_t i = 0; i < upstreams.size(); ++i) {
+            if (!upstreams[i].answered && upstreams[i].nextAt <= now) {
+                runUpstream(i);
+            }
+        }
+    }
+
+    /// Events may start further exchanges, so nothing is held by reference over a call of tell().
+    void tell(std::size_t index, const event& e)
+    {
+        if (upstreams[index].open) {
+            const auto name = upstreams[index].sidecar;
+            give(processes.at(name), e);
+        }
+    }
+
+    void answerWhole(std::size_t index, const std::string& body)
+    {
+        upstreams[index].answered = true;
+        const auto id = upstreams[index].request.request;
+        tell(index, upstream_response { id, 200 });
+        tell(index, upstream_data { id, body });
+        tell(index, upstream_finished { id });
+    }
+
+    void runUpstream(std::size_t index)
+    {
+        const auto& target = upstreams[index].request.target;
+        if (target == "/v1/chat/completions") {
+            generate(index);
+        } else if (target == "/stats") {
+            answerWhole(
+                index, R"({"incarnation":)" + std::to_string(engineIncarnation[upstreams[index].sidecar]) + "}");
+        } else if (target.starts_with("/cache") || target == "/health") {
+            answerWhole(index, R"({"sequence":0,"programs":{}})");
+        } else {
+            execute(index);
+        }
+    }
+
+    static std::string headerOf(const start_upstream& request, const std::string& name)
+    {
+        for (const auto& [each, value] : request.headers) {
+            if (each == name) {
+                return value;
+            }
+        }
+        return {};
+    }
+
+    void execute(std::size_t index)
+    {
+        auto& u = upstreams[index];
+        if (!u.executed) {
+            u.executed = true;
+            ++executions[headerOf(u.request, "Cuminledge-Account") + "/" + headerOf(u.request, "Idempotency-Key")];
+            u.nextAt = now + serviceTime;
+            return;
+        }
+        answerWhole(index, R"({"paid":true})");
+    }
+
+    void generate(std::size_t index)
+    {
+        auto& u = upstreams[index];
+        const auto id = u.request.request;
+        if (u.pieces.empty()) {
+            const auto body = *parseJson(u.request.body, "test");
+            prompts.push_back(writeJson(body["messages"]));
+            // The answer depends on the whole prompt alone, so that one resumed elsewhere is the same.
+            const auto answer = "answer-" + sha256Hex(prompts.back()).substr(0, 32);
+            const auto resumed = body.isMember("resume_text") ? body["resume_text"].asString() : "";
+            for (auto at = resumed.size(); at < answer.size(); at += 4) {
+                u.pieces.push_back(answer.substr(at, 4));
+            }
+            u.nextAt = now + pieceTime;
+            tell(index, upstream_response { id, 200 });
+            return;
+        }
+        if (u.next < u.pieces.size()) {
+            Json::Value chunk;
+            chunk["choices"][0]["delta"]["content"] = u.pieces[u.next++];
+            u.nextAt = now + pieceTime;
+            tell(index, upstream_data { id, writeJson(chunk) });
+            return;
+        }
+        u.answered = true;
+        const auto tokens = std::to_string(u.pieces.size());
+        tell(index,
+            upstream_data { id,
+                R"({"choices":[{"delta":{},"finish_reason":"stop"}],"usage":{"prompt_tokens":20,"cached_tokens":0,"completion_tokens":)"
+                    + tokens + "}}" });
+        tell(index, upstream_data { id, "[DONE]" });
+        tell(index, upstream_finished { id });
+    }
+
+    //--------------------------------------------------------------------------------------------------------------
+    // Effects
+    //--------------------------------------------------------------------------------------------------------------
+
+    void give(process& p, const event& e)
+    {
+        if (!p.alive) {
+            return;
+        }
+        effects out;
+        if (p.isGateway) {
+            gateway::reduceGateway(*p.gateway, e, now, p.random, out);
+        } else {
+            sidecar::reduceSidecar(*p.sidecar, e, now, p.random, out);
+        }
+        for (const auto& each : out) {
+            carryOut(p, each);
+        }
+    }
+
+    void carryOut(process& p, const effect& e)
+    {
+        if (const auto* m = std::get_if<send_message>(&e)) {
+            post(p.name, m->peer, m->body);
+        } else if (const auto* wanted = std::get_if<connect_peer>(&e)) {
+            p.wanted.insert(wanted->peer);
+        } else if (const auto* unwanted = std::get_if<disconnect_peer>(&e)) {
+            p.wanted.erase(unwanted->peer);
+        } else if (const auto* started = std::get_if<start_upstream>(&e)) {
+            keyInUpstream += wire::encodeStruct(started->headers).find("secret-") != std::string::npos ? 1U : 0U;
+            upstreams.push_back({ p.name, *started, true, false, false, now + milliseconds(5), {}, 0 });
+        } else if (const auto* cancelled = std::get_if<cancel_upstream>(&e)) {
+            ++cancelledUpstreams;
+            for (auto& u : upstreams) {
+                const bool meant = u.sidecar == p.name && u.request.request == cancelled->request;
+                u.open = u.open && !meant;
+            }
+        } else if (const auto* reply = std::get_if<reply_to_caller>(&e)) {
+            auto& r = results[reply->exchange];
+            ++r.replies;
+            r.status = reply->status;
+            r.contentType = reply->contentType;
+            r.headers = reply->headers;
+            r.body = reply->body;
+        } else if (const auto* begun = std::get_if<begin_stream>(&e)) {
+            results[begun->exchange].headers = begun->headers;
+            results[begun->exchange].status = 200;
+        } else if (const auto* streamed = std::get_if<stream_event>(&e)) {
+            takeStreamed(*streamed);
+        } else if (const auto* ended = std::get_if<end_stream>(&e)) {
+            results[ended->exchange].streamEnded = true;
+            ++results[ended->exchange].replies;
+        } else if (const auto* aborted = std::get_if<abort_exchange>(&e)) {
+            results[aborted->exchange].aborted = true;
+            ++results[aborted->exchange].replies;
+        } else if (const auto* tagged = std::get_if<tag_connection>(&e)) {
+            results[tagged->exchange].tagged = true;
+        } else if (std::holds_alternative<close_key_connections>(e) || std::holds_alternative<set_ready>(e)
+            || std::holds_alternative<close_listeners>(e) || std::holds_alternative<stop_process>(e)) {
+            p.seen.push_back(e);
+        }
+    }
+
+    void takeStreamed(const stream_event& streamed)
+    {
+        auto& r = results[streamed.exchange];
+        if (streamed.data == "[DONE]") {
+            r.done = true;
+            return;
+        }
+        const auto parsed = parseJson(streamed.data, "test");
+        if (parsed && parsed->isMember("error")) {
+            r.body = writeJson((*parsed)["error"]);
+        } else if (parsed) {
+            r.streamed += (*parsed)["choices"][0]["delta"]["content"].asString();
+        }
+    }
+
+    std::map<std::pair<std::string, std::string>, std::uint64_t> links; ///< to the connection's number
+    std::map<std::pair<std::string, std::string>, time_point> blockedUntil;
+    std::map<std::pair<std::string, std::string>, time_point> lastArrival;
+    std::uint64_t lastEpoch = 0;
+    std::vector<flight> flights;
+    limits::authority_output authorityOutput;
+    exchange_id lastExchange = 0;
+};
+
+} // namespace cuminledge::core::testing
