--- a/libs/core/tests/call_path_world.hpp
+++ b/libs/core/tests/call_path_world.hpp
@@ -598,7 +598,8 @@
     {
         auto& u = upstreams[index];
         const auto id = u.request.request;
-        if (u.pieces.empty()) {
+        if (!u.executed) {
+            u.executed = true;
             const auto body = *parseJson(u.request.body, "test");
             prompts.push_back(writeJson(body["messages"]));
             // The answer depends on the whole prompt alone, so that one resumed elsewhere is the same.
