Poll and announce to another controller as soon as a connection to one is lost

Cause: an unanswered poll was given up after a second, and an election may take as long again; together they outlast the configuration lease of 2 s, so that a controller's death could make gateways refuse keyed work for a moment. Change: a lost connection to a controller starts the poll, and the sidecar's announcement, anew at once.

--- a/libs/core/src/gateway/configuration.cpp
+++ b/libs/core/src/gateway/configuration.cpp
@@ -172,6 +172,12 @@
     c.out.emplace_back(send_message { target, poll });
 }
 
+void repollConfiguration(context& c)
+{
+    c.state.configuration.pollRequest = 0;
+    c.state.configuration.nextPollAt = c.now;
+}
+
 void onConfigUpdate(context& c, const std::string& peer, const wire::config_update& update)
 {
     auto& configuration = c.state.configuration;
--- a/libs/core/src/gateway/configuration.hpp
+++ b/libs/core/src/gateway/configuration.hpp
@@ -7,6 +7,9 @@
 /// Polls the leader of group 0 when it is time.
 void pollConfiguration(context& c);
 
+/// A controller is gone, maybe the one that was asked: polls another at once, as the lease runs on.
+void repollConfiguration(context& c);
+
 /// Takes the answer to a poll: manifest, keys, membership and quarantine, under a lease that counts from the poll.
 void onConfigUpdate(context& c, const std::string& peer, const wire::config_update& update);
 
--- a/libs/core/src/gateway/gateway.cpp
+++ b/libs/core/src/gateway/gateway.cpp
@@ -143,6 +143,7 @@
         {
             if (controller_client::isController(c.state.controllers, e.peer)) {
                 controller_client::noteDisconnected(c.state.controllers, e.peer, c.now);
+                repollConfiguration(c);
             } else {
                 onSidecarDisconnected(c, e.peer);
             }
--- a/libs/core/src/sidecar/sidecar.cpp
+++ b/libs/core/src/sidecar/sidecar.cpp
@@ -173,6 +173,7 @@
         {
             if (controller_client::isController(c.state.controllers, e.peer)) {
                 controller_client::noteDisconnected(c.state.controllers, e.peer, c.now);
+                announceNow(c);
             } else {
                 onGatewayDisconnected(c, e.peer);
             }
