Find a dead engine while nothing runs on it, and give it no new work

Cause: test_kills.py, test_engine_that_died_gets_no_new_work_while_its_sidecar_lives, failed: an engine killed while idle stayed "serving". The sidecar probed only engines it already held to be down, and the controller overwrote a sidecar's own "draining" with the operators' drains. Ruled out: lapse of the announcement (the sidecar lives and announces on). Change: an idle sidecar probes its engine each second; the controller keeps either reason for draining; what it reports back as an ordered drain is the operators' alone, so that a recovered engine serves again. Result: the test passes (7 s for the class), and the engine serves again after its restart.

--- a/libs/core/src/controller/membership.cpp
+++ b/libs/core/src/controller/membership.cpp
@@ -99,7 +99,7 @@
         const bool hasLeft = known != r.state.members.backends.end() && known->second.isLeaving
             && known->second.record.incarnation == record.incarnation;
         record.withdrawn = announcement.leaving || hasLeft;
-        record.draining = r.state.control.drains.contains(record.backend);
+        record.draining = record.draining || r.state.control.drains.contains(record.backend);
         const auto id = record.backend;
         putRecord(r, std::move(record));
         auto& entry = r.state.members.backends.at(id);
@@ -160,7 +160,7 @@
     response.request = announcement.request;
     response.accepted = true;
     response.lease = r.state.settings.announceLease;
-    response.drainOrdered = record.draining;
+    response.drainOrdered = r.state.control.drains.contains(record.backend);
     response.fencingNumber = announcement.leaving ? 0 : fencingNumberOf(r, record);
     answer(r, peer, std::move(response));
 }
--- a/libs/core/src/sidecar/probe.cpp
+++ b/libs/core/src/sidecar/probe.cpp
@@ -14,6 +14,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds probeInterval { 500 };
+    constexpr std::chrono::milliseconds idleProbeInterval { 1'000 };
     constexpr std::chrono::milliseconds reportTimeout { 30'000 };
     constexpr std::size_t maxProbeBytes = 1U << 20U;
     constexpr std::uint32_t statusOk = 200;
@@ -128,8 +129,10 @@
 {
     auto& health = c.state.health;
     const bool unknown = health.incarnation == 0 && c.state.settings.kind == wire::backend_kind::Engine;
-    if ((!health.up || unknown) && c.now >= health.nextProbeAt) {
-        health.nextProbeAt = c.now + probeInterval;
+    // Work under way tells of a death by itself; without any, only a probe does.
+    const bool idle = c.state.running.empty();
+    if ((!health.up || unknown || idle) && c.now >= health.nextProbeAt) {
+        health.nextProbeAt = c.now + (health.up ? idleProbeInterval : probeInterval);
         startProbe(c);
     }
 }
--- a/tools/local/tests/test_kills.py
+++ b/tools/local/tests/test_kills.py
@@ -88,6 +88,18 @@
         self.deployment.start_process("gateway-1")
         self.eventually(self.serves_new_caller, "served again")
 
+    def backend_state(self, backend):
+        run = self.deployment.ctl("--output", "json", "backend", "list")
+        return next(b["state"] for b in json.loads(run.stdout)["backends"] if b["backend"] == backend)
+
+    def test_engine_that_died_gets_no_new_work_while_its_sidecar_lives(self):
+        self.eventually(lambda: self.backend_state("engine-2") == "serving", "the engine serves")
+        self.deployment.kill("engine-2")
+        self.eventually(lambda: self.backend_state("engine-2") != "serving", "the dead engine is known")
+        self.assertTrue(self.serves_new_caller())
+        self.deployment.start_process("engine-2")
+        self.eventually(lambda: self.backend_state("engine-2") == "serving", "the engine serves again")
+
     def test_withdrawn_key_stops_and_another_does_not(self):
         run = self.deployment.ctl("--output", "json", "key", "issue", ACCOUNT)
         issued = json.loads(run.stdout)
