--- a/libs/core/tests/call_path_world.hpp
+++ b/libs/core/tests/call_path_world.hpp
@@ -128,7 +128,7 @@
         const std::string& key = "ka")
     {
         caller_request r;
-        r.exchange = ++lastExchange;
+        r.exchange = ++m_lastExchange;
         r.connection = r.exchange;
         r.method = method;
         r.target = target;
@@ -195,7 +195,7 @@
     void cutLink(const std::string& left, const std::string& right, milliseconds outage)
     {
         dropLink(left, right);
-        blockedUntil[linkOf(left, right)] = now + outage;
+        m_blockedUntil[linkOf(left, right)] = now + outage;
     }
 
     /// The engine or service of the sidecar dies and comes back at once; what it had begun is done or not, by `ran`.
@@ -351,10 +351,10 @@
             const auto wanted = p.wanted;
             for (const auto& peer : wanted) {
                 const auto link = linkOf(name, peer);
-                if (!p.alive || links.contains(link) || !exists(peer) || now < blockedUntil[link]) {
+                if (!p.alive || m_links.contains(link) || !exists(peer) || now < m_blockedUntil[link]) {
                     continue;
                 }
-                links[link] = ++lastEpoch;
+                m_links[link] = ++m_lastEpoch;
                 const auto peerIncarnation = peer == controllerName ? 1 : processes.at(peer).incarnation;
                 if (peer != controllerName) {
                     give(processes.at(peer), peer_connected { name, "gateway", p.incarnation });
@@ -366,7 +366,7 @@
 
     void dropLink(const std::string& left, const std::string& right)
     {
-        if (links.erase(linkOf(left, right)) == 0) {
+        if (m_links.erase(linkOf(left, right)) == 0) {
             return;
         }
         for (const auto& [here, there] : { std::pair(left, right), std::pair(right, left) }) {
@@ -380,7 +380,7 @@
     void dropLinks(const std::string& name)
     {
         std::vector<std::pair<std::string, std::string>> found;
-        for (const auto& [link, epoch] : links) {
+        for (const auto& [link, epoch] : m_links) {
             if (link.first == name || link.second == name) {
                 found.push_back(link);
             }
@@ -395,11 +395,11 @@
 
     bool chance(unsigned percent) { return percent > 0 && random() % 100 < percent; }
 
-    void post(const std::string& from, const std::string& to, wire::message body)
+    void post(const std::string& from, const std::string& to, const wire::message& body)
     {
-        const auto link = links.find(linkOf(from, to));
+        const auto link = m_links.find(linkOf(from, to));
         const bool withController = from == controllerName || to == controllerName;
-        if (link == links.end() || (withController && chance(faults.lostPercent))
+        if (link == m_links.end() || (withController && chance(faults.lostPercent))
             || (dropMessage && dropMessage(from, to, body))) {
             return;
         }
@@ -407,11 +407,11 @@
         auto decoded = wire::decodeVariant<wire::message>(wire::encodeVariant(body), "test", from);
         const auto delay
             = milliseconds(1 + static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(faults.maxDelay.count())));
-        const auto at = std::max(now + delay, lastArrival[{ from, to }]);
-        lastArrival[{ from, to }] = at;
-        flights.push_back({ at, link->second, from, to, *decoded });
+        const auto at = std::max(now + delay, m_lastArrival[{ from, to }]);
+        m_lastArrival[{ from, to }] = at;
+        m_flights.push_back({ at, link->second, from, to, *decoded });
         if (chance(faults.doubledPercent)) {
-            flights.push_back({ at + delay * 3, link->second, from, to, std::move(*decoded) });
+            m_flights.push_back({ at + delay * 3, link->second, from, to, std::move(*decoded) });
         }
     }
 
@@ -419,14 +419,14 @@
     {
         std::vector<flight> due;
         std::vector<flight> later;
-        for (auto& f : flights) {
+        for (auto& f : m_flights) {
             (f.at <= now ? due : later).push_back(std::move(f));
         }
-        flights = std::move(later);
+        m_flights = std::move(later);
         std::stable_sort(due.begin(), due.end(), [](const flight& a, const flight& b) { return a.at < b.at; });
         for (auto& f : due) {
-            const auto link = links.find(linkOf(f.from, f.to));
-            if (link == links.end() || link->second != f.epoch) {
+            const auto link = m_links.find(linkOf(f.from, f.to));
+            if (link == m_links.end() || link->second != f.epoch) {
                 continue;
             }
             if (f.to == controllerName) {
@@ -462,7 +462,7 @@
             }
             post(controllerName, from, response);
         } else if (const auto* rate = std::get_if<wire::rate_lease_request>(&body)) {
-            limits::onRateRequest(authority, from, *rate, now, authorityOutput);
+            limits::onRateRequest(authority, from, *rate, now, m_authorityOutput);
         }
     }
 
@@ -511,17 +511,17 @@
 
     void serveRates()
     {
-        limits::tickAuthority(authority, now, authorityOutput);
-        while (!authorityOutput.reservations.empty()) {
-            const auto reservations = std::exchange(authorityOutput.reservations, {});
+        limits::tickAuthority(authority, now, m_authorityOutput);
+        while (!m_authorityOutput.reservations.empty()) {
+            const auto reservations = std::exchange(m_authorityOutput.reservations, {});
             for (const auto& each : reservations) {
-                limits::onReservationApplied(authority, each, now, authorityOutput);
+                limits::onReservationApplied(authority, each, now, m_authorityOutput);
             }
         }
-        for (const auto& [peer, grant] : std::exchange(authorityOutput.grants, {})) {
+        for (const auto& [peer, grant] : std::exchange(m_authorityOutput.grants, {})) {
             post(controllerName, peer, grant);
         }
-        for (const auto& [peer, recall] : std::exchange(authorityOutput.recalls, {})) {
+        for (const auto& [peer, recall] : std::exchange(m_authorityOutput.recalls, {})) {
             post(controllerName, peer, recall);
         }
     }
@@ -707,13 +707,13 @@
         }
     }
 
-    std::map<std::pair<std::string, std::string>, std::uint64_t> links; ///< to the connection's number
-    std::map<std::pair<std::string, std::string>, time_point> blockedUntil;
-    std::map<std::pair<std::string, std::string>, time_point> lastArrival;
-    std::uint64_t lastEpoch = 0;
-    std::vector<flight> flights;
-    limits::authority_output authorityOutput;
-    exchange_id lastExchange = 0;
+    std::map<std::pair<std::string, std::string>, std::uint64_t> m_links; ///< to the connection's number
+    std::map<std::pair<std::string, std::string>, time_point> m_blockedUntil;
+    std::map<std::pair<std::string, std::string>, time_point> m_lastArrival;
+    std::uint64_t m_lastEpoch = 0;
+    std::vector<flight> m_flights;
+    limits::authority_output m_authorityOutput;
+    exchange_id m_lastExchange = 0;
 };
 
 } // namespace cuminledge::core::testing
--- a/libs/core/tests/test_gateway_chat.cpp
+++ b/libs/core/tests/test_gateway_chat.cpp
@@ -339,8 +339,10 @@
     w.leave(leaving);
     w.advance(milliseconds(2'500));
     const auto takenBefore = w.sidecarOf(leaving).counters.attemptsTaken;
+    constexpr std::size_t laterCount = 6;
     std::vector<exchange_id> later;
-    for (int i = 0; i < 6; ++i) {
+    later.reserve(laterCount);
+    for (std::size_t i = 0; i < laterCount; ++i) {
         later.push_back(w.chat("g2", "", 0, "n" + std::to_string(i)));
     }
     w.advance(milliseconds(6'000));
