--- a/tools/load/load_generator.cpp
+++ b/tools/load/load_generator.cpp
@@ -268,7 +268,7 @@
     if (self.turn >= turns) {
         m_report.programLatencies.push_back(since(self.startedProgram, m_clock.now()));
         ++m_report.programs;
-        if (self.program.empty()) {
+        if (self.program.empty() || m_settings.keepPrograms) {
             next(index);
         } else {
             endProgram(index);
@@ -292,6 +292,8 @@
     auto& self = m_clients[index];
     self.busy = false;
     --m_busy;
+    const bool isEnough = m_settings.programs != 0 && m_report.programs >= m_settings.programs;
+    m_over = m_over || isEnough;
     if (m_over) {
         if (m_busy == 0) {
             m_context.stop();
--- a/tools/load/load_settings.hpp
+++ b/tools/load/load_settings.hpp
@@ -18,6 +18,8 @@
     std::uint32_t promptBytes = 400; ///< of each turn's new message
     std::uint32_t maxTokens = 16;
     bool stream = true;
+    bool keepPrograms = false; ///< leave the programs open
+    std::uint64_t programs = 0; ///< stop after so many; 0: no such bound
     double callsPerSecond = 0; ///< over all clients; 0: each client calls again at once
     std::chrono::milliseconds pause { 0 }; ///< a program's tool pause between turns
     std::chrono::milliseconds duration { 5000 };
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -24,6 +24,8 @@
     add("turns", "turns of a program; 0: calls without one", cxxopts::value<std::uint32_t>()->default_value("4"));
     add("prompt-bytes", "new text of each turn", cxxopts::value<std::uint32_t>()->default_value("400"));
     add("max-tokens", "tokens of each answer", cxxopts::value<std::uint32_t>()->default_value("16"));
+    add("keep-programs", "leave the programs open");
+    add("programs", "stop after so many programs; 0: no such bound", cxxopts::value<std::uint64_t>()->default_value("0"));
     add("no-stream", "ask for whole answers");
     add("rate", "calls a second over all clients; 0: closed loop", cxxopts::value<double>()->default_value("0"));
     add("pause-ms", "tool pause between turns", cxxopts::value<std::int64_t>()->default_value("0"));
@@ -44,6 +46,8 @@
     settings.turns = arguments["turns"].as<std::uint32_t>();
     settings.promptBytes = arguments["prompt-bytes"].as<std::uint32_t>();
     settings.maxTokens = arguments["max-tokens"].as<std::uint32_t>();
+    settings.keepPrograms = arguments.count("keep-programs") != 0;
+    settings.programs = arguments["programs"].as<std::uint64_t>();
     settings.stream = arguments.count("no-stream") == 0;
     settings.callsPerSecond = arguments["rate"].as<double>();
     settings.pause = std::chrono::milliseconds(arguments["pause-ms"].as<std::int64_t>());
--- a/tools/local/bench_path.py
+++ b/tools/local/bench_path.py
@@ -94,11 +94,10 @@
     """Memory of a program under way: opens many, each with one committed turn, and none ended."""
     roles = ("gateway", "sidecar", "controller")
     gateway = of_role(deployment, "gateway")[0]
-    before = {r: sum(resident_bytes(e["pid"]) for e in of_role(deployment, r)) for r in roles}
-    report = run_load(deployment, [gateway["address"]], deployment.keys[ACCOUNT], clients=OPEN_PROGRAMS, seconds=1,
-                      turns=2, pause_ms=8000, rate=OPEN_PROGRAMS * 2)
+    before = {r: max(resident_bytes(e["pid"]) for e in of_role(deployment, r)) for r in roles}
+    report = run_load(deployment, [gateway["address"]], deployment.keys[ACCOUNT], clients=64, seconds=20, turns=1,
+                      keep_programs=True, programs=OPEN_PROGRAMS)
     opened = max(1, report["programs"])
     for role in roles:
-        grown = sum(resident_bytes(e["pid"]) for e in of_role(deployment, role)) - before[role]
-        figures.add(f"memory_per_program_{role}", "bytes", grown / opened, programs=opened,
-                    processes=len(of_role(deployment, role)))
+        grown = max(resident_bytes(e["pid"]) for e in of_role(deployment, role)) - before[role]
+        figures.add(f"memory_per_program_{role}", "bytes", grown / opened, programs=opened)
