--- a/libs/core/include/core/routing/backend_table.hpp
+++ b/libs/core/include/core/routing/backend_table.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -42,6 +43,12 @@
     bool isService = false;
 };
 
+/// An attempt that this gateway sent.
+struct own_attempt {
+    time_point sentAt {};
+    float prefillTokens = 0;
+};
+
 /// The parts of a row that no decision reads.
 struct backend_detail {
     std::string backend;
@@ -49,6 +56,7 @@
     std::uint64_t incarnation = 0;
     std::vector<std::string> models;
     std::int64_t cacheTokens = 0;
+    std::deque<own_attempt> sent; ///< by this gateway, not yet in any load report; oldest first
 };
 
 struct routing_settings {
@@ -66,7 +74,7 @@
     std::chrono::milliseconds spillover { 50 }; ///< predicted queue that lets the next wider place be tried
     float defaultPrefillTokensPerSecond = 8'000;
     float defaultDecodeTokensPerSecond = 40;
-    double transferTokensPerSecond = 100'000; ///< KV cache copied between backend servers
+    double transferTokensPerSecond = 25'000; ///< KV cache copied between backend servers
     std::chrono::milliseconds transferSetup { 20 };
 };
 
@@ -114,7 +122,8 @@
 backend_index findBackend(const backend_table& table, const std::string& backend);
 
 /// An attempt is being sent there. @param prefillTokens what the server has to prefill for it.
-void onAttemptStarted(backend_table& table, const std::string& backend, std::int64_t prefillTokens);
+void onAttemptStarted(
+    backend_table& table, const std::string& backend, std::int64_t prefillTokens, time_point now);
 
 /// An attempt there ended well.
 void onAttemptFinished(backend_table& table, const std::string& backend);
@@ -126,6 +135,8 @@
 void onAttemptDropped(backend_table& table, const std::string& backend);
 
 /// A load report of that server came, on an answer or on a probe.
-void onLoadReport(backend_table& table, const std::string& backend, const wire::load_report& report, time_point now);
+/// @param age how old the report was when it came: attempts sent since then are not in it.
+void onLoadReport(backend_table& table, const std::string& backend, const wire::load_report& report, time_point now,
+    std::chrono::milliseconds age = std::chrono::milliseconds { 0 });
 
 } // namespace cuminledge::core::routing
--- a/libs/core/include/core/scheduling/attempt_queue.hpp
+++ b/libs/core/include/core/scheduling/attempt_queue.hpp
@@ -36,7 +36,7 @@
     std::size_t maxQueued = 1024;
     std::size_t maxQueuedPerAccount = 256;
     double completionWeight = 2; ///< cost of a generated token in prefill tokens
-    double ageingTokensPerSecond = 400; ///< attained service that a second of waiting outweighs
+    double ageingTokensPerSecond = 100; ///< attained service that a second of waiting outweighs
     double initialCostPerSecond = 20'000; ///< the server's weighted service rate until it has been measured
 };
 
@@ -109,7 +109,7 @@
 
 /// @return how many attempts may start on an engine so that its batch limit is never exceeded: an engine at the limit
 ///         queues by itself, in an order nobody chose.
-std::size_t admissionSlots(std::uint32_t batchLimit, std::uint32_t runningThere, std::uint32_t headroom = 1);
+std::size_t admissionSlots(std::uint32_t batchLimit, std::uint32_t runningThere);
 
 /// Takes out a queued attempt. @return whether it was there.
 bool remove(attempt_queue& queue, const std::string& attempt);
--- a/libs/core/src/cache/pin_table.cpp
+++ b/libs/core/src/cache/pin_table.cpp
@@ -296,7 +296,7 @@
         const auto found = table.pins.find(program);
         if (found != table.pins.end() && found->second.suspectedEnded) {
             found->second.suspectedEnded = false;
-            found->second.pinnedUntil = now + table.settings.minPause;
+            found->second.pinnedUntil = now + leaseFor(table, found->second.account);
         }
     }
 }
--- a/libs/core/src/routing/backend_table.cpp
+++ b/libs/core/src/routing/backend_table.cpp
@@ -98,6 +98,7 @@
         if (cameBack) {
             row = {};
             row.slowStartFrom = now;
+            detail.sent.clear();
         }
         row.inUse = true;
         row.draining = record.draining;
@@ -147,9 +148,25 @@
         if (row.ownInFlight > 0) {
             --row.ownInFlight;
         }
-        if (row.ownSinceReport > row.ownInFlight) {
-            row.ownSinceReport = row.ownInFlight;
+    }
+
+    void countSent(backend_row& row, const backend_detail& detail)
+    {
+        constexpr std::size_t maxCount = 0xffff;
+        row.ownSinceReport = static_cast<std::uint16_t>(std::min(detail.sent.size(), maxCount));
+        row.ownPrefillSinceReport = 0;
+        for (const auto& attempt : detail.sent) {
+            row.ownPrefillSinceReport += attempt.prefillTokens;
+        }
+    }
+
+    /// Of the attempts that no report shows yet, no more can be left than are in flight.
+    void dropEnded(backend_row& row, backend_detail& detail)
+    {
+        while (detail.sent.size() > row.ownInFlight) {
+            detail.sent.pop_front();
         }
+        countSent(row, detail);
     }
 
 } // namespace
@@ -196,7 +213,8 @@
     return found == table.byId.end() ? noBackend : found->second;
 }
 
-void onAttemptStarted(backend_table& table, const std::string& backend, std::int64_t prefillTokens)
+void onAttemptStarted(
+    backend_table& table, const std::string& backend, std::int64_t prefillTokens, time_point now)
 {
     const auto index = findBackend(table, backend);
     if (index == noBackend) {
@@ -204,8 +222,8 @@
     }
     auto& row = table.rows[index];
     ++row.ownInFlight;
-    ++row.ownSinceReport;
-    row.ownPrefillSinceReport += static_cast<float>(prefillTokens);
+    table.details[index].sent.push_back({ now, static_cast<float>(prefillTokens) });
+    countSent(row, table.details[index]);
 }
 
 void onAttemptFinished(backend_table& table, const std::string& backend)
@@ -216,6 +234,7 @@
     }
     auto& row = table.rows[index];
     endOne(row);
+    dropEnded(row, table.details[index]);
     row.consecutiveFailures = 0;
     row.ejections = 0;
 }
@@ -228,6 +247,7 @@
     }
     auto& row = table.rows[index];
     endOne(row);
+    dropEnded(row, table.details[index]);
     row.consecutiveFailures = static_cast<std::uint8_t>(std::min(row.consecutiveFailures + 1, 0xff));
     const bool tooMany = row.consecutiveFailures >= table.settings.failuresBeforeEjection;
     if (table.settings.useEjection && tooMany && row.ejectedUntil <= now && mayEject(table, index, now)) {
@@ -240,10 +260,12 @@
     const auto index = findBackend(table, backend);
     if (index != noBackend) {
         endOne(table.rows[index]);
+        dropEnded(table.rows[index], table.details[index]);
     }
 }
 
-void onLoadReport(backend_table& table, const std::string& backend, const wire::load_report& report, time_point now)
+void onLoadReport(backend_table& table, const std::string& backend, const wire::load_report& report, time_point now,
+    std::chrono::milliseconds age)
 {
     constexpr std::uint32_t maxCount = 0xffff;
     const auto index = findBackend(table, backend);
@@ -257,8 +279,11 @@
     row.waitingPrefillTokens = static_cast<float>(report.waitingPrefillTokens);
     row.prefillTokensPerSecond = static_cast<float>(report.prefillTokensPerSecond);
     row.decodeTokensPerSecond = static_cast<float>(report.decodeTokensPerSecond);
-    row.ownSinceReport = 0;
-    row.ownPrefillSinceReport = 0;
+    auto& detail = table.details[index];
+    while (!detail.sent.empty() && detail.sent.front().sentAt <= now - age) {
+        detail.sent.pop_front();
+    }
+    countSent(row, detail);
 }
 
 } // namespace cuminledge::core::routing
--- a/libs/core/src/routing/choose_backend.cpp
+++ b/libs/core/src/routing/choose_backend.cpp
@@ -21,6 +21,13 @@
         return row.inUse && !row.draining && (request.exclude.empty() || !isExcluded(table, request, index));
     }
 
+    /// A home may have stopped serving the model since.
+    bool serves(const backend_table& table, const route_request& request, backend_index index)
+    {
+        const auto& models = table.details[index].models;
+        return std::find(models.begin(), models.end(), request.model) != models.end();
+    }
+
     bool isEjected(const backend_table& table, backend_index index, time_point now)
     {
         return table.settings.useEjection && table.rows[index].ejectedUntil > now;
@@ -87,7 +94,8 @@
         }
         const double delta = static_cast<double>(request.deltaTokens) / prefillRate(table, row);
         // A batch near its limit slows every sequence in it; half of the reported batch is the usual case.
-        const double crowding = 1 + 0.5 * std::min(1.0, static_cast<double>(row.running + row.ownSinceReport) / row.batchLimit);
+        const double own = settings.useOwnInFlight ? row.ownSinceReport : 0;
+        const double crowding = 1 + 0.5 * std::min(1.0, (row.running + own) / row.batchLimit);
         p.total = (p.queue + seconds(move + delta + decodeSeconds * crowding)) / slowStartShare(table, row, now);
         p.choice.predicted = std::chrono::duration_cast<std::chrono::microseconds>(p.total);
         return p;
@@ -244,7 +252,8 @@
     }
     const auto home = request.home.empty() ? noBackend : findBackend(table, request.home);
     candidate_search search { table, request, home, now, {}, false };
-    if (table.settings.useHome && home != noBackend && isUsable(table, request, home) && !isEjected(table, home, now)) {
+    const bool homeServes = home != noBackend && serves(table, request, home) && isUsable(table, request, home);
+    if (table.settings.useHome && homeServes && !isEjected(table, home, now)) {
         search.consider(home);
     }
     const auto first = table.settings.preferOwnFailureDomain ? reach::OwnDomain : reach::Anywhere;
@@ -290,7 +299,7 @@
     const backend_table& table, const route_request& request, std::uint64_t& turn)
 {
     const auto home = request.home.empty() ? noBackend : findBackend(table, request.home);
-    if (home != noBackend && isUsable(table, request, home)) {
+    if (home != noBackend && serves(table, request, home) && isUsable(table, request, home)) {
         return plainChoice(request, home, true);
     }
     return chooseRoundRobin(table, request, turn);
--- a/libs/core/src/scheduling/attempt_queue.cpp
+++ b/libs/core/src/scheduling/attempt_queue.cpp
@@ -282,9 +282,9 @@
     return chosen;
 }
 
-std::size_t admissionSlots(std::uint32_t batchLimit, std::uint32_t runningThere, std::uint32_t headroom)
+std::size_t admissionSlots(std::uint32_t batchLimit, std::uint32_t runningThere)
 {
-    const std::uint32_t usable = batchLimit > headroom ? batchLimit - headroom : 1;
+    const auto usable = std::max(1U, batchLimit);
     return usable > runningThere ? usable - runningThere : 0;
 }
 
