--- a/tools/bench/cost_bench.cpp
+++ b/tools/bench/cost_bench.cpp
@@ -38,6 +38,7 @@
         constexpr std::uint32_t regions = 4;
         auto table = routing::makeBackendTable("region-0", "domain-0");
         std::vector<wire::backend_record> records;
+        records.reserve(servers);
         for (std::uint32_t i = 0; i < servers; ++i) {
             wire::backend_record record;
             record.backend = "engine-" + std::to_string(i);
