--- a/libs/core/include/core/cache/pin_table.hpp
+++ b/libs/core/include/core/cache/pin_table.hpp
@@ -30,6 +30,7 @@
     bool releasing = false; ///< ordered, not confirmed yet
     bool suspectedEnded = false; ///< unknown to this sidecar: its program's state has to be asked for
     time_point releaseOrderedAt {};
+    time_point askedAt {}; ///< whether its program lives
 };
 
 /// How long the tool pauses of an account's programs are: a histogram over powers of two of 250 ms.
@@ -113,10 +114,10 @@
 /// Programs among those asked about that live: their pins get a lease.
 void onLivingPrograms(pin_table& table, const std::vector<std::string>& programs, time_point now);
 
-/// @return idle programs, longest idle first, to be asked about with read_ended_programs: a release message may have
-/// been lost. @param idleFor only programs idle for longer.
+/// @return idle programs, the one asked about longest ago first, to be asked about with read_ended_programs: a release
+/// message may have been lost. @param idleFor only programs idle for longer.
 std::vector<std::string> programsToCheck(
-    const pin_table& table, time_point now, std::chrono::milliseconds idleFor, std::size_t limit);
+    pin_table& table, time_point now, std::chrono::milliseconds idleFor, std::size_t limit);
 
 //------------------------------------------------------------------------------------------------------------------
 // Transfer to another backend server
--- a/libs/core/include/core/limits/lease_holder.hpp
+++ b/libs/core/include/core/limits/lease_holder.hpp
@@ -39,12 +39,12 @@
     std::vector<token_spend> spends; ///< not acknowledged yet, oldest first, merged where there are many
     std::int64_t unacknowledged = 0; ///< of the spends, sent with the pending request
     std::int64_t waiting = 0; ///< calls that wait for a token
-    std::deque<time_point> waitingSince; ///< of each of them, oldest first
     time_point refusedUntil {};
     time_point lastSpend {};
     double demandPerSecond = 0;
     time_point demandUpdated {};
     bool needsAttention = false; ///< is listed in lease_holder::attention
+    std::deque<time_point> waitingSince; ///< of each waiting call, oldest first
 };
 
 struct holder_counters {
--- a/libs/core/src/cache/pin_table.cpp
+++ b/libs/core/src/cache/pin_table.cpp
@@ -302,21 +302,23 @@
 }
 
 std::vector<std::string> programsToCheck(
-    const pin_table& table, time_point now, std::chrono::milliseconds idleFor, std::size_t limit)
+    pin_table& table, time_point now, std::chrono::milliseconds idleFor, std::size_t limit)
 {
     std::vector<std::pair<time_point, std::string>> idle;
     for (const auto& [program, pin] : table.pins) {
         const bool longIdle = isIdle(pin) && now - pin.idleSince > idleFor;
         if (longIdle || pin.suspectedEnded) {
-            idle.emplace_back(pin.idleSince, program);
+            idle.emplace_back(std::max(pin.idleSince, pin.askedAt), program);
         }
     }
+    // Without turns, living programs with long pauses would keep the others from ever being asked about.
     std::sort(idle.begin(), idle.end());
     std::vector<std::string> programs;
     for (const auto& [since, program] : idle) {
         if (programs.size() == limit) {
             break;
         }
+        table.pins.at(program).askedAt = now;
         programs.push_back(program);
     }
     return programs;
--- a/libs/core/tests/test_cache.cpp
+++ b/libs/core/tests/test_cache.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <random>
+#include <set>
 
 using namespace cuminledge;
 using namespace cuminledge::core::cache;
@@ -112,6 +113,21 @@
     CHECK(onEndedPrograms(table, { "p" }, start + 3s).size() == 1);
 }
 
+TEST_CASE("Every idle program is asked about in turn, however many pause for long", "[cache]")
+{
+    auto table = makeSynced();
+    for (int i = 0; i < 30; ++i) {
+        runTurn(table, "p" + std::to_string(i), 10, start);
+    }
+    std::set<std::string> asked;
+    for (int round = 0; round < 3; ++round) {
+        for (const auto& program : programsToCheck(table, start + 3s + round * 1s, 2s, 10)) {
+            asked.insert(program);
+        }
+    }
+    CHECK(asked.size() == 30);
+}
+
 TEST_CASE("Copying is chosen where it beats a prefill", "[cache]")
 {
     CHECK(isTransferCheaper(10'000, { 8'000, 100'000, 20ms }));
--- a/tools/bench/policy_run.cpp
+++ b/tools/bench/policy_run.cpp
@@ -151,7 +151,7 @@
     void tendCache(run_state& run, std::size_t engine)
     {
         constexpr milliseconds idleFor { 2'000 };
-        constexpr std::size_t askedAtOnce = 64;
+        constexpr std::size_t askedAtOnce = 256;
         auto& sidecar = run.sidecars[engine];
         if (!sidecar.engine.alive) {
             return;
@@ -714,7 +714,9 @@
             run.sidecars.push_back(std::move(sidecar));
         }
         for (const double calls : usualCallsPerSecond(run.w, run.c)) {
-            const double rate = run.w.rateHeadroom * calls;
+            const bool floods = run.buckets.size() == run.w.floodingAccount;
+            const double raised = floods && run.c.floodWithinRate ? run.c.floodFactor : 1;
+            const double rate = run.w.rateHeadroom * calls * raised;
             run.buckets.push_back(core::limits::makeBucket({ rate, run.w.burstSeconds * rate }, run.now));
         }
         for (const auto& domain : run.w.failureDomains) {
--- a/tools/bench/workload.cpp
+++ b/tools/bench/workload.cpp
@@ -119,6 +119,7 @@
         c.name = reader.string("name", 1, 40);
         c.load = reader.number("load", 0.01, 10, c.load);
         c.floodFactor = reader.number("flood_factor", 1, 100, 1);
+        c.floodWithinRate = reader.boolean("flood_within_rate", false);
         c.loseDomain = reader.boolean("lose_failure_domain", false);
         c.slowShare = reader.number("half_speed_share", 0, 1, 0);
         c.eventLossShare = reader.number("event_loss_share", 0, 1, 0);
--- a/tools/bench/workload.hpp
+++ b/tools/bench/workload.hpp
@@ -16,6 +16,7 @@
     std::string name;
     double load = 0.6; ///< of what the engines can do with every prefix cached
     double floodFactor = 1; ///< the flooding account's programs, times its usual share
+    bool floodWithinRate = false; ///< the flooding account's rate allows the flood: only scheduling can help
     bool loseDomain = false;
     double slowShare = 0; ///< of the engines that run at half speed
     double eventLossShare = 0;
