--- a/libs/core/include/core/cache/pin_table.hpp
+++ b/libs/core/include/core/cache/pin_table.hpp
@@ -13,9 +13,7 @@
 
 struct pin_settings {
     bool keepOverPauses = true; ///< otherwise a program's cache goes when its turn ends
-    bool useExpectedReuse = true; ///< otherwise every pin is kept for maxPause
-    std::chrono::milliseconds minPause { 2'000 }; ///< a pin is kept for so long at least, memory permitting
-    std::chrono::milliseconds maxPause { 120'000 };
+    std::chrono::milliseconds maxPause { 120'000 }; ///< a pin is kept for so long, memory permitting
     std::chrono::milliseconds reorderAfter { 1'000 }; ///< a release that is not confirmed is ordered again
     double freeShare = 0.1; ///< of the memory, kept free for running attempts
 };
@@ -33,18 +31,11 @@
     time_point askedAt {}; ///< whether its program lives
 };
 
-/// How long the tool pauses of an account's programs are: a histogram over powers of two of 250 ms.
-struct pause_statistics {
-    static constexpr std::size_t bucketCount = 12;
-    std::uint32_t counts[bucketCount] = {}; // NOLINT(*-avoid-c-arrays): a plain histogram
-    std::uint32_t total = 0;
-};
-
 /**
  * What the engine holds by program, in whole tokens, with a lease on each pin.
  *
- * A pin outlives a tool pause while the prefill it is expected to save outweighs the memory it holds; it is released
- * when its program ends, expires or is abandoned. What the engine says through cache events is checked by sequence
+ * A pin outlives a tool pause unless memory is short: then the program that has been idle for longest is the least
+ * likely to come back soon. It is released when its program ends, expires or is abandoned. What the engine says through cache events is checked by sequence
  * number; after a gap nothing is assumed and the engine is listed.
  */
 struct pin_table {
@@ -52,7 +43,6 @@
     std::int64_t capacityTokens = 0;
     std::int64_t heldTokens = 0;
     std::unordered_map<std::string, cache_pin> pins;
-    std::unordered_map<std::string, pause_statistics> pauses; ///< by client account
     std::uint64_t nextSequence = 0; ///< expected of the next event; 0: none seen yet
     bool resyncNeeded = true; ///< a sidecar that has just started knows nothing
     std::uint64_t gaps = 0;
@@ -67,7 +57,8 @@
 /// A turn of the program is about to run here. Keeps its cache from being released meanwhile.
 void onTurnStarted(pin_table& table, const std::string& program, const std::string& account, time_point now);
 
-/// The turn has ended and the engine caches so many tokens of the program. Starts the pin's lease.
+/// The turn has ended, or never ran after all, and the engine caches so many tokens of the program. Starts the pin's
+/// lease. Without it the pin would stay for good.
 void onTurnEnded(pin_table& table, const std::string& program, std::int64_t cachedTokens, time_point now);
 
 /// The program is over (ended, expired, abandoned). @return the programs whose cache the engine must be told to
--- a/libs/core/src/cache/pin_table.cpp
+++ b/libs/core/src/cache/pin_table.cpp
@@ -7,60 +7,9 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds shortestBucket { 250 };
-
-    std::size_t bucketOf(duration pause)
-    {
-        std::size_t bucket = 0;
-        for (duration limit = shortestBucket; pause > limit && bucket + 1 < pause_statistics::bucketCount; limit *= 2) {
-            ++bucket;
-        }
-        return bucket;
-    }
-
-    void notePause(pause_statistics& statistics, duration pause)
-    {
-        constexpr std::uint32_t halvedAbove = 256; // so that old behaviour fades
-        ++statistics.counts[bucketOf(pause)];
-        ++statistics.total;
-        if (statistics.total <= halvedAbove) {
-            return;
-        }
-        statistics.total = 0;
-        for (auto& count : statistics.counts) {
-            count /= 2;
-            statistics.total += count;
-        }
-    }
-
-    /// @return the pause that all but a twentieth of the account's programs have come back from.
-    std::chrono::milliseconds expectedPause(const pin_table& table, const std::string& account)
-    {
-        constexpr std::uint32_t enoughSamples = 20;
-        constexpr double coveredShare = 0.95;
-        const auto found = table.pauses.find(account);
-        if (found == table.pauses.end() || found->second.total < enoughSamples) {
-            return table.settings.maxPause;
-        }
-        const auto& statistics = found->second;
-        auto limit = shortestBucket;
-        std::uint32_t covered = 0;
-        for (const auto count : statistics.counts) {
-            covered += count;
-            if (covered >= coveredShare * statistics.total) {
-                break;
-            }
-            limit *= 2;
-        }
-        return std::clamp(2 * limit, table.settings.minPause, table.settings.maxPause);
-    }
-
-    std::chrono::milliseconds leaseFor(const pin_table& table, const std::string& account)
+    std::chrono::milliseconds leaseOf(const pin_table& table)
     {
-        if (!table.settings.keepOverPauses) {
-            return std::chrono::milliseconds { 0 };
-        }
-        return table.settings.useExpectedReuse ? expectedPause(table, account) : table.settings.maxPause;
+        return table.settings.keepOverPauses ? table.settings.maxPause : std::chrono::milliseconds { 0 };
     }
 
     void setTokens(pin_table& table, cache_pin& pin, std::int64_t tokens)
@@ -87,7 +36,7 @@
         return !pin.turnUnderWay && !pin.releasing && pin.tokens > 0;
     }
 
-    /// Pins to give up until enough memory is free: most tokens times time left to hold them first.
+    /// Gives up pins until enough memory is free, longest idle first.
     void releaseUnderPressure(pin_table& table, time_point now, std::vector<std::string>& due)
     {
         const auto limit
@@ -134,11 +83,9 @@
         return;
     }
     auto& pin = table.pins[program];
-    if (pin.idleSince != time_point {} && !pin.turnUnderWay) {
-        notePause(table.pauses[account], now - pin.idleSince);
-    }
     pin.account = account;
     pin.turnUnderWay = true;
+    pin.pinnedUntil = now + leaseOf(table);
     pin.suspectedEnded = false;
     pin.releasing = false;
 }
@@ -153,7 +100,7 @@
     setTokens(table, pin, cachedTokens);
     pin.turnUnderWay = false;
     pin.idleSince = now;
-    pin.pinnedUntil = now + leaseFor(table, pin.account);
+    pin.pinnedUntil = now + leaseOf(table);
 }
 
 std::vector<std::string> releaseProgram(pin_table& table, const std::string& program, time_point now)
@@ -296,7 +243,7 @@
         const auto found = table.pins.find(program);
         if (found != table.pins.end() && found->second.suspectedEnded) {
             found->second.suspectedEnded = false;
-            found->second.pinnedUntil = now + leaseFor(table, found->second.account);
+            found->second.pinnedUntil = now + leaseOf(table);
         }
     }
 }
--- a/tools/bench/policy_run.cpp
+++ b/tools/bench/policy_run.cpp
@@ -263,6 +263,14 @@
         routing::onAttemptDropped(run.gateways[live.gateway].table, run.sidecars[live.engine].name);
         ++run.figures.refusedAttempts;
         auto& program = run.programs[live.program];
+        program.turnUnderWay = false;
+        if (run.variant.usePins) {
+            // A copy of its cache may have come here ahead of it.
+            auto& sidecar = run.sidecars[live.engine];
+            const auto copied = sidecar.engine.cache.find(program.id);
+            const auto tokens = copied == sidecar.engine.cache.end() ? 0 : copied->second.tokens;
+            cache::onTurnEnded(sidecar.pins, program.id, tokens, run.now);
+        }
         if (++program.refusals > maxRefusals) {
             endProgram(run, live.program, true);
             return;
@@ -832,7 +840,7 @@
     add("with_one_random_candidate", [](policy_variant& v) { v.routing.randomCandidates = 1; });
     add("with_all_candidates", [](policy_variant& v) { v.routing.randomCandidates = 0; });
     add("without_pins", [](policy_variant& v) { v.usePins = false; });
-    add("without_expected_reuse", [](policy_variant& v) { v.pins.useExpectedReuse = false; });
+    add("without_cache_over_pauses", [](policy_variant& v) { v.pins.keepOverPauses = false; });
     return variants;
 }
 
