--- a/libs/core/src/gateway/attempts.cpp
+++ b/libs/core/src/gateway/attempts.cpp
@@ -241,7 +241,7 @@
     subject.run.progressBy = c.now + confirmTimeout;
     c.state.callOfAttempt[subject.run.attempt] = subject.id;
     routing::onAttemptStarted(
-        c.state.routes, subject.run.backend, subject.begun.historyTokens + subject.deltaTokens);
+        c.state.routes, subject.run.backend, subject.begun.historyTokens + subject.deltaTokens, c.now);
     ++c.state.counters.attemptsStarted;
     if (subject.attemptsMade == 1) {
         earnRetries(c.state, subject.account);
