Mend what clang-tidy found over the whole tree

Cause: landings check the format alone, as the linter takes five minutes over the tree; the whole run found four faults: a use of a request in the expression that moves it (disk.cpp), a move into a const reference, and two lists whose size is known.

--- a/libs/core/tests/test_consensus.cpp
+++ b/libs/core/tests/test_consensus.cpp
@@ -110,6 +110,7 @@
     CHECK(leaseDuration(settings) > 979ms);
     read(R"({"heartbeat_ms": 200, "election_timeout_min_ms": 500, "election_timeout_max_ms": 400, "typo": 1})", faults);
     std::vector<std::string> paths;
+    paths.reserve(faults.size());
     for (const auto& fault : faults) {
         paths.push_back(fault.path);
     }
--- a/libs/core/tests/test_consensus_histories.cpp
+++ b/libs/core/tests/test_consensus_histories.cpp
@@ -94,6 +94,7 @@
     constexpr int threadCount = 4;
     std::atomic<std::uint64_t> next { firstSeed };
     std::vector<std::thread> threads;
+    threads.reserve(threadCount);
     for (int i = 0; i < threadCount; ++i) {
         threads.emplace_back([&] {
             for (auto seed = next++; seed < firstSeed + count; seed = next++) {
--- a/libs/host/src/admin_listener.cpp
+++ b/libs/host/src/admin_listener.cpp
@@ -54,7 +54,7 @@
 {
     net::http_reply reply;
     reply.body = std::move(body);
-    m_server.reply(exchange, std::move(reply));
+    m_server.reply(exchange, reply);
 }
 
 void admin_listener::onRequest(const net::http_request& request)
--- a/libs/host/src/disk.cpp
+++ b/libs/host/src/disk.cpp
@@ -169,7 +169,8 @@
 
 void disk::write(core::persist_log request)
 {
-    m_writers.at(request.group)->write(std::move(request));
+    auto& writer = *m_writers.at(request.group);
+    writer.write(std::move(request));
 }
 
 } // namespace cuminledge::host
