Wait for a restarted stand-in before asking it; name a call's state in one place

The programs under test were right; an earlier run of the same test passed because the restart of a sidecar took longer in between. Ruled out: the service dying by itself: its log shows one start and a later answer. Change: the test waits for the stand-in's /health; no check is eased. The state of a call stood as text in two switch statements (operators' methods and gateway), now once in libs/wire.

--- a/libs/core/src/controller/operators.cpp
+++ b/libs/core/src/controller/operators.cpp
@@ -6,6 +6,7 @@
 #include <controller/internal.hpp>
 #include <core/consensus/consensus.hpp>
 #include <core/group.hpp>
+#include <wire/call_state_text.hpp>
 
 namespace cuminledge::core::controller {
 
@@ -72,23 +73,6 @@
         replyError(r, exchange, static_cast<error_code>(refusal.code), refusal.message, std::move(details));
     }
 
-    const char* toString(wire::call_state state)
-    {
-        switch (state) {
-        case wire::call_state::Recorded:
-            return "recorded";
-        case wire::call_state::Dispatched:
-            return "dispatched";
-        case wire::call_state::Done:
-            return "done";
-        case wire::call_state::NotRun:
-            return "not_run";
-        case wire::call_state::Unknown:
-            return "unknown";
-        }
-        return "unknown";
-    }
-
     Json::Value describeOutcome(const wire::program_status& status)
     {
         Json::Value body;
@@ -114,7 +98,7 @@
         Json::Value body;
         body["account"] = status.account;
         body["call"] = status.call;
-        body["state"] = toString(status.state);
+        body["state"] = wire::toString(status.state);
         body["service"] = status.service;
         body["operation"] = status.operation;
         body["attempt"] = status.attempt;
--- a/libs/core/src/gateway/service_calls.cpp
+++ b/libs/core/src/gateway/service_calls.cpp
@@ -2,6 +2,8 @@
 
 #include <json/value.h>
 
+#include <wire/call_state_text.hpp>
+
 #include "answers.hpp"
 #include "attempts.hpp"
 #include "rate.hpp"
@@ -15,23 +17,6 @@
     constexpr std::chrono::milliseconds ownerPatience { 2'000 };
     constexpr std::chrono::milliseconds outcomePause { 250 };
 
-    const char* nameOf(wire::call_state state)
-    {
-        switch (state) {
-        case wire::call_state::Recorded:
-            return "recorded";
-        case wire::call_state::Dispatched:
-            return "dispatched";
-        case wire::call_state::Done:
-            return "done";
-        case wire::call_state::NotRun:
-            return "not_run";
-        case wire::call_state::Unknown:
-            break;
-        }
-        return "unknown";
-    }
-
     bool isCode(const wire::command_result& outcome, error_code code)
     {
         const auto* refused = std::get_if<wire::refused>(&outcome);
@@ -42,7 +27,7 @@
     {
         Json::Value value(Json::objectValue);
         value["call"] = status.call;
-        value["state"] = nameOf(status.state);
+        value["state"] = wire::toString(status.state);
         value["service"] = status.service;
         value["operation"] = status.operation;
         if (status.state == wire::call_state::Done) {
--- a/tools/local/tests/test_kills.py
+++ b/tools/local/tests/test_kills.py
@@ -16,6 +16,8 @@
         entry = self.deployment.entry(name)
         if entry["role"] in ("gateway", "sidecar", "controller"):
             self.deployment.wait_until_ready(entry["admin_address"])
+        else:
+            self.eventually(lambda: request(entry["address"], "GET", "/health")[0] == 200, f"{name} listens")
 
     def history_turns(self, program):
         for gateway in self.gateways():
