--- a/libs/core/src/consensus/internal.hpp
+++ b/libs/core/src/consensus/internal.hpp
@@ -87,6 +87,10 @@
 /// @return the number of the request sent now, for the lease.
 std::uint64_t nextRound(replica& r, time_point now);
 
+/// Looks up who answered a request of this leader; steps down where the answer's term is later.
+/// @return null where the answer is not for this leadership.
+follower_progress* findAnswering(replica& r, const std::string& from, std::uint64_t term, replica_output& out);
+
 /// Notes an answer of a follower to the request with that round number.
 void noteAnswer(replica& r, follower_progress& p, std::uint64_t round, time_point now);
 
--- a/libs/core/src/consensus/replication.cpp
+++ b/libs/core/src/consensus/replication.cpp
@@ -23,6 +23,17 @@
     return r.round;
 }
 
+follower_progress* findAnswering(replica& r, const std::string& from, std::uint64_t term, replica_output& out)
+{
+    if (term > r.term) {
+        becomeFollower(r, term, {}, out);
+        return nullptr;
+    }
+    const auto found = r.followers.find(from);
+    const bool isOwn = isLeader(r) && term == r.term && found != r.followers.end();
+    return isOwn ? &found->second : nullptr;
+}
+
 void noteAnswer(replica& r, follower_progress& p, std::uint64_t round, time_point now)
 {
     p.lastAnswer = now;
@@ -219,19 +230,15 @@
 
 void handle(replica& r, const std::string& from, const wire::append_response& m, time_point now, replica_output& out)
 {
-    if (m.term > r.term) {
-        becomeFollower(r, m.term, {}, out);
-        return;
-    }
-    const auto found = r.followers.find(from);
-    if (!isLeader(r) || m.term != r.term || found == r.followers.end()) {
+    auto* answering = findAnswering(r, from, m.term, out);
+    if (answering == nullptr) {
         return;
     }
     if (m.matchIndex > lastIndex(r)) {
         ++r.counters.messagesInvalid;
         return;
     }
-    auto& p = found->second;
+    auto& p = *answering;
     noteAnswer(r, p, m.round, now);
     if (m.accepted) {
         noteMatch(p, m.matchIndex, now);
--- a/libs/core/src/consensus/snapshots.cpp
+++ b/libs/core/src/consensus/snapshots.cpp
@@ -90,15 +90,11 @@
 
 void handle(replica& r, const std::string& from, const wire::snapshot_response& m, time_point now, replica_output& out)
 {
-    if (m.term > r.term) {
-        becomeFollower(r, m.term, {}, out);
+    auto* answering = findAnswering(r, from, m.term, out);
+    if (answering == nullptr) {
         return;
     }
-    const auto found = r.followers.find(from);
-    if (!isLeader(r) || m.term != r.term || found == r.followers.end()) {
-        return;
-    }
-    auto& p = found->second;
+    auto& p = *answering;
     noteAnswer(r, p, m.round, now);
     if (m.lastIndex != p.snapshotIndex || m.lastIndex > r.commitIndex) {
         return;
