Ask only the candidates of a choice whether they can be reached

Cause: the read-through found that each choice of a backend server first walked all announced servers and copied the ids of the unreachable ones into the request, which the chooser then searched for each candidate. Ruled out: a flag in the routing row: it would hold a second copy of what the gateway's own table says. Change: the request carries the question; the chooser asks it of the candidates it looks at. Choices are as before.

--- a/libs/core/include/core/routing/choose_backend.hpp
+++ b/libs/core/include/core/routing/choose_backend.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <random>
 #include <string>
 #include <vector>
@@ -17,6 +18,7 @@
     std::int64_t deltaTokens = 0;
     std::int64_t expectedTokens = 0; ///< of the answer
     std::vector<std::string> exclude; ///< servers that failed this attempt
+    std::function<bool(const std::string& backend)> isReachable {}; ///< asked of candidates alone; empty: all are
 };
 
 struct backend_choice {
--- a/libs/core/src/gateway/choose.cpp
+++ b/libs/core/src/gateway/choose.cpp
@@ -32,6 +32,7 @@
             && entry.connectedIncarnation == entry.record.incarnation;
     }
 
+    /// @return the request; it holds references to both arguments.
     routing::route_request describe(const context& c, const call& subject)
     {
         routing::route_request request;
@@ -39,11 +40,10 @@
         request.historyTokens = subject.begun.historyTokens;
         request.deltaTokens = subject.deltaTokens;
         request.expectedTokens = subject.maxTokens;
-        for (const auto& [backend, entry] : c.state.backends) {
-            if (!isReachable(entry, subject)) {
-                request.exclude.push_back(backend);
-            }
-        }
+        request.isReachable = [&c, &subject](const std::string& backend) {
+            const auto found = c.state.backends.find(backend);
+            return found != c.state.backends.end() && isReachable(found->second, subject);
+        };
         return request;
     }
 
--- a/libs/core/src/routing/choose_backend.cpp
+++ b/libs/core/src/routing/choose_backend.cpp
@@ -9,16 +9,20 @@
 
     using seconds = std::chrono::duration<double>;
 
-    bool isExcluded(const backend_table& table, const route_request& request, backend_index index)
+    bool isExcluded(const route_request& request, const std::string& backend)
     {
         const auto& exclude = request.exclude;
-        return std::find(exclude.begin(), exclude.end(), table.details[index].backend) != exclude.end();
+        return std::find(exclude.begin(), exclude.end(), backend) != exclude.end();
     }
 
     bool isUsable(const backend_table& table, const route_request& request, backend_index index)
     {
         const auto& row = table.rows[index];
-        return row.inUse && !row.draining && (request.exclude.empty() || !isExcluded(table, request, index));
+        if (!row.inUse || row.draining) {
+            return false;
+        }
+        const auto& backend = table.details[index].backend;
+        return !isExcluded(request, backend) && (!request.isReachable || request.isReachable(backend));
     }
 
     /// A home may have stopped serving the model since.
