--- a/libs/base/include/base/json.hpp
+++ b/libs/base/include/base/json.hpp
@@ -86,6 +86,9 @@
     /// Adds a fault at a member of this object (or at the object itself where the key is empty).
     void fault(const std::string& key, std::string message);
 
+    /// Members that nothing asks for are no fault: the document comes from a newer writer.
+    void allowUnknown() { m_allowsUnknown = true; }
+
     /// Reports members that nothing asked for. Call once, last.
     void finish();
 
@@ -99,6 +102,7 @@
     std::string m_path;
     std::vector<json_fault>& m_faults;
     std::set<std::string> m_known;
+    bool m_allowsUnknown = false;
 };
 
 /// @return all faults in one text, a line each: "PATH: MESSAGE".
--- a/libs/base/src/json.cpp
+++ b/libs/base/src/json.cpp
@@ -306,6 +306,9 @@
 
 void json_object_reader::finish()
 {
+    if (m_allowsUnknown) {
+        return;
+    }
     if (!m_object.isObject()) {
         return;
     }
--- a/libs/core/include/core/controller/controller.hpp
+++ b/libs/core/include/core/controller/controller.hpp
@@ -48,7 +48,12 @@
     std::string method;
 };
 
-using proposal_origin = std::variant<own_origin, peer_origin, operator_origin>;
+/// A call on the control interface of a deployment with route tables.
+struct control_origin {
+    exchange_id exchange = 0;
+};
+
+using proposal_origin = std::variant<own_origin, peer_origin, operator_origin, control_origin>;
 
 /// A proposed log entry that is not committed yet.
 struct pending_proposal {
@@ -65,6 +70,7 @@
     wire::backend_record record; ///< `withdrawn` once it left or its lease lapsed
     time_point leaseEnd {};
     bool isLeaving = false; ///< said so itself; this incarnation does not come back
+    std::uint64_t sequence = 0; ///< of the last announcement taken, where the server announces itself
 };
 
 /// Backend servers as their sidecars announce them to the leader of group 0.
@@ -100,6 +106,7 @@
     store::shard_state shard; ///< unused in group 0
     limits::rate_authority authority; ///< unused in group 0
     program_watch watch; ///< unused in group 0
+    time_point clockCountedAt {}; ///< unused in group 0; while leading: up to when time was counted
 };
 
 struct controller_counters {
@@ -121,9 +128,11 @@
     std::map<std::uint32_t, hosted_group> groups;
     store::control_state control; ///< of group 0
     std::optional<manifest::manifest> manifest; ///< control.manifest, parsed
+    std::optional<wire::route_table> routes; ///< control.routes, decoded
     membership members;
     std::map<std::string, std::string> peerRoles; ///< of connected processes, by name
     bool isReady = false;
+    bool isStandby = false; ///< hosts no group: it is not one of the settings' controllers
     std::optional<time_point> shutdownSince;
     time_point nextSweep {};
     controller_counters counters;
--- a/libs/core/include/core/controller/controller_settings.hpp
+++ b/libs/core/include/core/controller/controller_settings.hpp
@@ -20,6 +20,7 @@
 
 struct controller_settings {
     std::vector<controller_member> controllers;
+    bool isSeeded = false; ///< the list came from seeds: a process that is not in it hosts no group
     std::uint32_t groupCount = 4; ///< groups 1..groupCount; fixed when the system is first started
     consensus::consensus_settings consensus;
     limits::lease_settings rateLeases;
--- a/libs/core/include/core/controller_client/controller_client.hpp
+++ b/libs/core/include/core/controller_client/controller_client.hpp
@@ -62,7 +62,7 @@
     std::uint64_t requestsTimedOut = 0;
 };
 
-/// Reads the member "controllers": a list of objects with "name" and "address".
+/// Reads the member "controllers": a list of objects with "name" and "address"; or the members of readSeeds().
 std::vector<controller_address> readControllers(json_object_reader& reader);
 
 /// Connects to every controller.
--- a/libs/core/include/core/effect.hpp
+++ b/libs/core/include/core/effect.hpp
@@ -115,6 +115,81 @@
     std::string request;
 };
 
+//------------------------------------------------------------------------------------------------------------------
+// Forwarded requests
+//------------------------------------------------------------------------------------------------------------------
+
+/// Sends a caller's request on to a backend server. Answered by upstream_head and what follows it.
+struct forward_upstream {
+    std::string request; ///< id, for the events about it
+    std::string address; ///< "IP:PORT"
+    std::string backend; ///< another server at that address is to refuse it
+    std::string attempt;
+    std::string method;
+    std::string target;
+    std::string host;
+    header_list headers;
+    std::string body;
+    std::string account; ///< empty: a public route
+    std::chrono::milliseconds timeLeft { 0 }; ///< 0: no limit
+    std::string lastEvent; ///< resumes a stream behind this event; empty: from the start
+    bool freshConnection = false;
+};
+
+/// Starts the answer to a forwarded request.
+struct begin_answer {
+    exchange_id exchange = 0;
+    std::uint32_t status = 200;
+    header_list headers;
+    std::int64_t length = -1; ///< of the body; -1: not known yet
+};
+
+struct answer_data {
+    exchange_id exchange = 0;
+    std::string data;
+};
+
+/// The answer is complete.
+struct end_answer {
+    exchange_id exchange = 0;
+};
+
+/// Refuses a caller's forwarded request. The interface in use says it in its own form.
+struct refuse_caller {
+    exchange_id exchange = 0;
+    error_code code = error_code::Unavailable;
+    bool mayHaveRun = false;
+    std::chrono::milliseconds retryAfter { 0 }; ///< 0: no advice
+    std::string message;
+};
+
+/// Answers from now on announce that the connection closes after them.
+struct announce_closing {
+};
+
+//------------------------------------------------------------------------------------------------------------------
+// Control
+//------------------------------------------------------------------------------------------------------------------
+
+enum class control_outcome : std::uint8_t {
+    Done,
+    Invalid, ///< final: the same call is refused again
+    NotFound,
+    Conflict,
+    Redirected, ///< `leader` answers
+    Unavailable ///< nobody can answer now
+};
+
+/// Answers a call of a backend server or an operator.
+struct reply_to_control {
+    exchange_id exchange = 0;
+    control_outcome outcome = control_outcome::Done;
+    std::string leader; ///< "IP:PORT" where control calls are answered; empty: unknown
+    std::string document; ///< of a routes_query
+    std::string state; ///< of a retirement_request: "running" or "completed"
+    std::string message; ///< what is wrong
+};
+
 //------------------------------------------------------------------------------------------------------------------
 // Storage
 //------------------------------------------------------------------------------------------------------------------
@@ -169,7 +244,8 @@
 
 using effect = std::variant<connect_peer, disconnect_peer, send_message, reply_to_caller, begin_stream, stream_event,
     end_stream, abort_exchange, tag_connection, close_key_connections, reply_to_operator, reply_dump, start_upstream,
-    cancel_upstream, persist_log, write_log, set_ready, close_listeners, stop_process, record_metric>;
+    cancel_upstream, persist_log, write_log, set_ready, close_listeners, stop_process, record_metric, forward_upstream,
+    begin_answer, answer_data, end_answer, refuse_caller, announce_closing, reply_to_control>;
 
 /// Effects in the order they are carried out.
 using effects = std::vector<effect>;
--- a/libs/core/include/core/event.hpp
+++ b/libs/core/include/core/event.hpp
@@ -9,6 +9,7 @@
 
 #include <base/error.hpp>
 #include <wire/message.hpp>
+#include <wire/route_table.hpp>
 
 /// Everything that can happen to a process. Hosts make events; the reducer alone says what follows from them.
 /// All of them have a coded form, so that a run can be recorded and replayed (see trace.hpp).
@@ -185,10 +186,108 @@
     MSGPACK_DEFINE(immediately)
 };
 
+//------------------------------------------------------------------------------------------------------------------
+// Forwarded requests: any method, path and body, sent on to a backend server unchanged
+//------------------------------------------------------------------------------------------------------------------
+
+/// A piece of a prompt that requests may share; an engine that holds it, and all before it, need not read it again.
+struct prompt_part {
+    std::string id;
+    std::int64_t tokens = 0;
+    MSGPACK_DEFINE(id, tokens)
+};
+
+/// Where a request stands in an agent program.
+struct program_place {
+    std::string program; ///< empty: the request belongs to none
+    std::string line; ///< one value for each sequence of turns
+    std::chrono::milliseconds timeLeft { 0 }; ///< until the program should be done; 0: not said
+    std::int64_t budgetTokens = 0; ///< that all its turns may generate; 0: no budget
+    std::string previousTurn; ///< the turn that this one continues; empty: starts a chain
+    MSGPACK_DEFINE(program, line, timeLeft, budgetTokens, previousTurn)
+};
+
+/// A caller's request to be forwarded.
+struct forward_request {
+    exchange_id exchange = 0;
+    std::string attempt; ///< names this request; never used again by a caller
+    std::string method;
+    std::string target; ///< path with query
+    std::string host;
+    std::vector<std::pair<std::string, std::string>> headers; ///< those to be passed on as they are
+    std::string body;
+    std::string key; ///< the account's key; empty: none came
+    std::chrono::milliseconds timeLeft { 0 }; ///< that the caller will wait; 0: not said
+    program_place place;
+    std::string model;
+    std::int64_t promptTokens = 0;
+    std::int64_t maxOutputTokens = 0;
+    std::vector<prompt_part> parts; ///< of the prompt, in order
+    std::string lastEvent; ///< the caller resumes a stream behind this event's id
+    MSGPACK_DEFINE(exchange, attempt, method, target, host, headers, body, key, timeLeft, place, model, promptTokens,
+        maxOutputTokens, parts, lastEvent)
+};
+
+/// The head of a backend server's answer to a forward_upstream effect. Then upstream_data, and upstream_finished or
+/// upstream_failed.
+struct upstream_head {
+    std::string request; ///< id from the effect
+    std::uint32_t status = 0;
+    std::vector<std::pair<std::string, std::string>> headers; ///< those to be passed on as they are
+    bool notRun = false; ///< the server states that it did not and will not run the request
+    std::string attempt; ///< that the server says it answers; empty: it does not say
+    bool isSigned = false; ///< bears the proof that a backend server made it
+    bool isEncoded = false; ///< the body is not the server's own bytes
+    std::int64_t length = -1; ///< of the body; -1: not known
+    MSGPACK_DEFINE(request, status, headers, notRun, attempt, isSigned, isEncoded, length)
+};
+
+//------------------------------------------------------------------------------------------------------------------
+// Control: backend servers that announce themselves, and operators of forwarding gateways
+//------------------------------------------------------------------------------------------------------------------
+
+/// A backend server says of itself that it is there.
+struct server_announcement {
+    exchange_id exchange = 0;
+    wire::backend_record backend; ///< without a sidecar
+    std::uint64_t sequence = 0; ///< rises with each announcement of an incarnation; 0: not said
+    bool isLeaving = false;
+    MSGPACK_DEFINE(exchange, backend, sequence, isLeaving)
+};
+
+/// A backend server says that it ends.
+struct server_departure {
+    exchange_id exchange = 0;
+    std::string backend;
+    std::uint64_t incarnation = 0; ///< 0: not said
+    MSGPACK_DEFINE(exchange, backend, incarnation)
+};
+
+struct routes_submission {
+    exchange_id exchange = 0;
+    wire::route_table table;
+    std::string document; ///< as it was sent
+    MSGPACK_DEFINE(exchange, table, document)
+};
+
+struct routes_query {
+    exchange_id exchange = 0;
+    MSGPACK_DEFINE(exchange)
+};
+
+/// An operator wants a storage VM emptied, or asks how far that is.
+struct retirement_request {
+    exchange_id exchange = 0;
+    std::string vm;
+    bool isStart = false; ///< else only asks
+    MSGPACK_DEFINE(exchange, vm, isStart)
+};
+
 /// Alternatives are only ever appended: traces hold their numbers.
 using event = std::variant<process_started, tick, peer_connected, peer_disconnected, peer_message, caller_request,
     caller_gone, operator_request, dump_requested, upstream_response, upstream_data, upstream_finished, upstream_failed,
-    replica_loaded, log_persisted, storage_failed, shutdown_requested>;
+    replica_loaded, log_persisted, storage_failed, shutdown_requested, forward_request, upstream_head,
+    server_announcement, server_departure, routes_submission, routes_query, retirement_request>;
 
 } // namespace cuminledge::core
 
--- /dev/null
+++ b/libs/core/include/core/forward/forwarder.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include <core/controller_client/config_poll.hpp>
+#include <core/controller_client/controller_client.hpp>
+#include <core/effect.hpp>
+#include <core/event.hpp>
+#include <core/forward/forward_call.hpp>
+#include <core/forward/forwarder_settings.hpp>
+#include <core/forward/server_table.hpp>
+#include <core/forward/turn_cache.hpp>
+#include <core/identity.hpp>
+#include <core/limits/lease_holder.hpp>
+#include <wire/route_table.hpp>
+
+/**
+ * The forwarding gateway: any request whose host and path a route names goes to a backend server of the route's
+ * service, and the server's answer comes back unchanged. Keys, rates, token budgets and retained turns hold on the way.
+ *
+ * A request that is not idempotent is sent again only where it is proved not to have run.
+ */
+namespace cuminledge::core::forward {
+
+/// The configuration that the gateway holds. It serves on with it while no controller can be reached.
+struct held_configuration {
+    controller_client::poll_state poll;
+    wire::route_table table; ///< version 0: none yet
+    std::uint32_t groupCount = 1;
+    std::uint64_t membershipEpoch = 0;
+    std::uint64_t membershipVersion = 0;
+    std::map<std::string, std::size_t> accountOfKey; ///< index into table.accounts
+    time_point confirmedAt {}; ///< when the last poll that was answered was sent
+};
+
+enum class shutdown_phase : std::uint8_t {
+    Running,
+    Announced, ///< not ready, but still taking connections
+    Draining ///< only requests under way go on
+};
+
+struct forwarder_counters {
+    std::uint64_t requests = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t broken = 0; ///< answers that ended early
+    std::uint64_t callersGone = 0;
+    std::uint64_t sends = 0;
+    std::uint64_t notRun = 0; ///< sends that a server refused to run, or that never reached it
+    std::uint64_t lost = 0; ///< sends that may have run without an answer
+    std::uint64_t resumed = 0; ///< streams that went on at another server
+    std::uint64_t chainsCached = 0;
+    std::uint64_t chainsRead = 0;
+    std::uint64_t expired = 0;
+    std::uint64_t strayMessages = 0;
+};
+
+/// Made with the settings filled in. Then process_started, and events.
+struct forwarder_state {
+    process_identity identity;
+    forwarder_settings settings;
+    controller_client::client_state controllers;
+    held_configuration configuration;
+    limits::lease_holder rate;
+    server_table servers;
+    turn_cache turns;
+    std::unordered_map<exchange_id, forward_call> calls;
+    std::set<std::pair<time_point, exchange_id>> expiries; ///< of all calls
+    std::unordered_map<std::string, exchange_id> callOfUpstream;
+    std::unordered_map<std::uint64_t, exchange_id> callOfRequest; ///< by request to the controllers
+    std::map<std::string, std::deque<exchange_id>> rateQueues; ///< by account
+    std::uint64_t nextUpstream = 1;
+    shutdown_phase shutdown = shutdown_phase::Running;
+    time_point shutdownStepAt {};
+    bool isReady = false;
+    forwarder_counters counters;
+};
+
+/**
+ * Takes one event.
+ *
+ * @param now monotonic; never goes back from one call to the next.
+ * @param out gets the effects, in order.
+ */
+void reduceForwarder(forwarder_state& state, const event& e, time_point now, std::mt19937_64& random, effects& out);
+
+} // namespace cuminledge::core::forward
--- a/libs/core/include/core/gateway/gateway.hpp
+++ b/libs/core/include/core/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include <core/controller_client/config_poll.hpp>
 #include <core/effect.hpp>
 #include <core/event.hpp>
 #include <core/gateway/call.hpp>
@@ -34,9 +35,7 @@
 
 /// What configuration polls brought. Nothing of it is used for new keyed work once the lease has run out.
 struct configuration_state {
-    std::uint64_t pollRequest = 0;
-    time_point pollSentAt;
-    time_point nextPollAt;
+    controller_client::poll_state poll;
     time_point leaseUntil;
     std::uint32_t groupCount = 1;
     std::uint64_t manifestNumber = 0;
--- a/libs/core/include/core/node.hpp
+++ b/libs/core/include/core/node.hpp
@@ -9,6 +9,7 @@
 #include <core/controller/controller.hpp>
 #include <core/effect.hpp>
 #include <core/event.hpp>
+#include <core/forward/forwarder.hpp>
 #include <core/gateway/gateway.hpp>
 #include <core/identity.hpp>
 #include <core/sidecar/sidecar.hpp>
@@ -24,6 +25,7 @@
     process_identity identity;
     std::mt19937_64 random;
     std::unique_ptr<gateway::gateway_state> gateway;
+    std::unique_ptr<forward::forwarder_state> forwarder;
     std::unique_ptr<sidecar::sidecar_state> sidecar;
     std::unique_ptr<controller::controller_state> controller;
 };
--- a/libs/core/include/core/store/control_state.hpp
+++ b/libs/core/include/core/store/control_state.hpp
@@ -71,6 +71,9 @@
     std::map<std::string, orderer> orderers; ///< by backend server
     std::map<std::string, crash_record> crashes; ///< by fingerprint
     change_index crashChanges;
+    std::uint64_t routesVersion = 0; ///< 0: no route table accepted yet
+    std::string routes; ///< coded wire::route_table
+    std::string routesDocument; ///< as the operator sent it
 };
 
 /// Applies one command, in log order. Applying it again gives the same truth and changes nothing.
--- a/libs/core/include/core/store/shard_state.hpp
+++ b/libs/core/include/core/store/shard_state.hpp
@@ -36,6 +36,15 @@
 constexpr std::size_t maxAnswerBytes = 64U << 20U;
 /// A larger answer is not kept: the call is Done, with `answerDropped`.
 constexpr std::size_t maxCallAnswerBytes = 1U << 20U;
+/// How often a leader counts the time that has passed for budgets and retained turns.
+constexpr std::chrono::milliseconds clockInterval { 5'000 };
+/// A chain of retained turns is followed so far at most.
+constexpr std::size_t maxChainTurns = 1'000;
+/// Settled attempts remembered for each budget.
+constexpr std::size_t maxSettledAttempts = 16;
+/// Budgets and retained turns of one group, each; past it new ones are refused.
+constexpr std::size_t maxRetained = 500'000;
+
 /// Times that a call proved as not run may be recorded again.
 constexpr std::size_t maxCallAttempts = 16;
 /// Client accounts with a rate reservation in one group.
@@ -93,6 +102,29 @@
 /// Names a call within a group. Account ids hold no line break.
 using call_key = std::pair<std::string, std::string>;
 
+/// What a program of forwarded requests may still generate.
+struct program_budget {
+    std::string account;
+    std::string program;
+    std::int64_t budget = 0;
+    std::int64_t used = 0;
+    std::map<std::string, std::int64_t> reserved; ///< tokens by attempt
+    std::vector<std::string> settled; ///< latest attempts, so that a late resend of one reserves nothing
+    std::chrono::milliseconds retention { 0 };
+    std::chrono::milliseconds expires { 0 }; ///< on the group's clock
+    MSGPACK_DEFINE(account, program, budget, used, reserved, settled, retention, expires)
+};
+
+/// A turn of a forwarded request that later turns may continue.
+struct retained_turn {
+    std::string account;
+    std::string turn;
+    std::string previous;
+    std::string text;
+    std::chrono::milliseconds expires { 0 }; ///< on the group's clock; never before that of a turn that continues it
+    MSGPACK_DEFINE(account, turn, previous, text, expires)
+};
+
 /// The replicated state of one of the groups 1..N. Changed by applyCommand() alone; equal on every replica at the same index.
 struct shard_state {
     std::map<std::string, program> programs; ///< by id
@@ -104,6 +136,9 @@
     std::size_t answerBytes = 0; ///< of keptAnswers; derived, not coded
     std::uint64_t lastSettledOrder = 0;
     std::map<std::string, wire::reserve_rate> rates; ///< the last reservation of each client account
+    std::map<call_key, program_budget> budgets; ///< by account and program
+    std::map<call_key, retained_turn> turns; ///< by account and turn
+    std::chrono::milliseconds clock { 0 }; ///< time that the group's leaders have counted
     std::uint64_t budgetOverruns = 0; ///< turns that reported more tokens than they had reserved
     std::uint64_t contradictions = 0; ///< settlements refused because the opposite had been settled
 };
--- a/libs/core/src/controller/config.cpp
+++ b/libs/core/src/controller/config.cpp
@@ -78,6 +78,15 @@
         }
     }
 
+    void addRoutes(update_builder& builder, const store::control_state& control, std::uint64_t held)
+    {
+        builder.update.routesVersion = control.routesVersion;
+        if (held != control.routesVersion) {
+            builder.update.routes = control.routes;
+            builder.bytes += control.routes.size();
+        }
+    }
+
     void addKeys(update_builder& builder, const store::control_state& control, std::uint64_t held)
     {
         auto& update = builder.update;
@@ -141,6 +150,7 @@
     builder.update.request = poll.request;
     builder.update.groupCount = r.state.settings.groupCount;
     addManifest(builder, r.state.control, poll.manifestNumber);
+    addRoutes(builder, r.state.control, poll.routesVersion);
     addKeys(builder, r.state.control, poll.keyRevision);
     addQuarantine(builder, r.state.control, poll.quarantineRevision);
     addMembership(r, builder, poll);
--- a/libs/core/src/controller/controller.cpp
+++ b/libs/core/src/controller/controller.cpp
@@ -64,19 +64,30 @@
     // The process
     //--------------------------------------------------------------------------------------------------------------
 
+    void connectToControllers(reduction& r)
+    {
+        for (const auto& member : r.state.settings.controllers) {
+            if (member.name != r.self.name) {
+                r.out.emplace_back(connect_peer { member.name, member.address });
+            }
+        }
+    }
+
     void start(reduction& r)
     {
+        if (r.state.isStandby) {
+            log(r, log_level::Info, "standby", { { "reason", "not one of the seeds" } });
+            connectToControllers(r);
+            r.out.emplace_back(set_ready { true, "" });
+            return;
+        }
         if (findController(r.state.settings, r.self.name) == nullptr) {
             log(r, log_level::Error, "settings_fault",
                 { { "path", "$.controller.controllers" }, { "message", "expected this process's own name in the list" } });
             r.out.emplace_back(stop_process { 2 });
             return;
         }
-        for (const auto& member : r.state.settings.controllers) {
-            if (member.name != r.self.name) {
-                r.out.emplace_back(connect_peer { member.name, member.address });
-            }
-        }
+        connectToControllers(r);
     }
 
     bool knowsAllLeaders(controller_state& state)
@@ -91,7 +102,7 @@
 
     void updateReadiness(reduction& r)
     {
-        const bool ready = !r.state.shutdownSince && knowsAllLeaders(r.state);
+        const bool ready = !r.state.shutdownSince && (r.state.isStandby || knowsAllLeaders(r.state));
         if (ready == r.state.isReady) {
             return;
         }
@@ -114,6 +125,7 @@
 
     void handle(reduction& r, const process_started& /*started*/)
     {
+        r.state.isStandby = r.state.settings.isSeeded && findController(r.state.settings, r.self.name) == nullptr;
         start(r);
     }
 
@@ -138,6 +150,7 @@
         for (auto& [number, group] : r.state.groups) {
             tickRates(r, group);
             checkPrograms(r, group);
+            countTime(r, group);
         }
         if (r.now >= r.state.nextSweep) {
             r.state.nextSweep = r.now + sweepInterval;
@@ -167,6 +180,31 @@
         receiveOperator(r, request);
     }
 
+    void handle(reduction& r, const server_announcement& announcement)
+    {
+        receiveServer(r, announcement);
+    }
+
+    void handle(reduction& r, const server_departure& departure)
+    {
+        receiveDeparture(r, departure);
+    }
+
+    void handle(reduction& r, const routes_submission& submission)
+    {
+        submitRoutes(r, submission);
+    }
+
+    void handle(reduction& r, const routes_query& query)
+    {
+        showRoutes(r, query);
+    }
+
+    void handle(reduction& r, const retirement_request& request)
+    {
+        receiveRetirement(r, request);
+    }
+
     void handle(reduction& r, const dump_requested& request)
     {
         replyWithDump(r, request.exchange);
--- a/libs/core/src/controller/controller_settings.cpp
+++ b/libs/core/src/controller/controller_settings.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include <core/seeds.hpp>
+
 namespace cuminledge::core::controller {
 
 namespace {
@@ -33,8 +35,15 @@
     using std::chrono::milliseconds;
     controller_settings settings;
     std::set<std::string> names;
-    reader.objects("controllers", maxControllers,
-        [&](json_object_reader& element) { settings.controllers.push_back(readMember(element, names)); });
+    settings.isSeeded = reader.has("seeds");
+    if (settings.isSeeded) {
+        for (auto& seed : readSeeds(reader)) {
+            settings.controllers.push_back({ seed.peerAddress, seed.peerAddress, seed.controlAddress });
+        }
+    } else {
+        reader.objects("controllers", maxControllers,
+            [&](json_object_reader& element) { settings.controllers.push_back(readMember(element, names)); });
+    }
     if (settings.controllers.empty()) {
         reader.fault("controllers", "expected at least one controller");
     }
--- a/libs/core/src/controller/duties.cpp
+++ b/libs/core/src/controller/duties.cpp
@@ -27,8 +27,32 @@
         }
     }
 
+    /// Keeps the decoded route table and every rate limit equal to the one in force.
+    void refreshRoutes(reduction& r)
+    {
+        if (r.state.control.routesVersion == 0) {
+            return;
+        }
+        auto decoded = wire::decodeStruct<wire::route_table>(r.state.control.routes, "decode_routes", "");
+        if (!decoded) {
+            log(r, log_level::Error, "routes_unreadable", { { "problem", describe(decoded.error()) } });
+            return;
+        }
+        r.state.routes = std::move(*decoded);
+        for (auto& [number, group] : r.state.groups) {
+            applyLimits(r, group);
+        }
+    }
+
     void noteControlCommand(reduction& r, const wire::command& command)
     {
+        if (const auto* routes = std::get_if<wire::accept_routes>(&command)) {
+            refreshRoutes(r);
+            log(r, log_level::Info, "routes_accepted",
+                { { "version", std::to_string(routes->version) },
+                    { "in_force", std::to_string(r.state.control.routesVersion) } });
+            return;
+        }
         if (const auto* accepted = std::get_if<wire::accept_manifest>(&command)) {
             refreshManifest(r);
             log(r, log_level::Info, "manifest_accepted",
@@ -80,6 +104,7 @@
 {
     if (group.group == systemGroup) {
         refreshManifest(r);
+        refreshRoutes(r);
         return;
     }
     applyLimits(r, group);
@@ -96,6 +121,7 @@
         startMembership(r, group.replica.term);
         return;
     }
+    group.clockCountedAt = r.now;
     limits::startLeading(group.authority, group.replica.term, r.now);
     startWatching(r, group);
 }
--- a/libs/core/src/controller/groups.cpp
+++ b/libs/core/src/controller/groups.cpp
@@ -78,6 +78,8 @@
             answerPeer(r, group, *peer, outcome);
         } else if (const auto* exchange = std::get_if<operator_origin>(&origin)) {
             answerOperator(r, *exchange, outcome);
+        } else if (const auto* control = std::get_if<control_origin>(&origin)) {
+            answerControl(r, *control, outcome);
         }
     }
 
@@ -89,6 +91,8 @@
             redirectPeer(r, group, peer->peer, peer->request);
         } else if (const auto* exchange = std::get_if<operator_origin>(&origin)) {
             answerOutcomeUnknown(r, *exchange);
+        } else if (const auto* control = std::get_if<control_origin>(&origin)) {
+            redirectControl(r, control->exchange);
         }
     }
 
@@ -199,7 +203,7 @@
 
 void loadReplica(reduction& r, const replica_loaded& loaded)
 {
-    if (loaded.group > r.state.settings.groupCount) {
+    if (loaded.group > r.state.settings.groupCount || r.state.isStandby) {
         return;
     }
     std::vector<std::string> names;
--- a/libs/core/src/controller/internal.hpp
+++ b/libs/core/src/controller/internal.hpp
@@ -62,6 +62,9 @@
 void noteActivity(reduction& r, hosted_group& group, const std::string& program);
 void checkPrograms(reduction& r, hosted_group& group);
 
+/// Proposes the time that has passed, from time to time, while budgets or retained turns are held.
+void countTime(reduction& r, hosted_group& group);
+
 //------------------------------------------------------------------------------------------------------------------
 // rates.cpp
 //------------------------------------------------------------------------------------------------------------------
@@ -95,6 +98,27 @@
 void answerOperator(reduction& r, const operator_origin& origin, const wire::command_result& outcome);
 void answerOutcomeUnknown(reduction& r, const operator_origin& origin);
 
+//------------------------------------------------------------------------------------------------------------------
+// control_calls.cpp: backend servers that announce themselves, and operators of deployments with route tables
+//------------------------------------------------------------------------------------------------------------------
+
+void receiveServer(reduction& r, const server_announcement& announcement);
+void receiveDeparture(reduction& r, const server_departure& departure);
+void submitRoutes(reduction& r, const routes_submission& submission);
+void showRoutes(reduction& r, const routes_query& query);
+void receiveRetirement(reduction& r, const retirement_request& request);
+void answerControl(reduction& r, const control_origin& origin, const wire::command_result& outcome);
+void redirectControl(reduction& r, exchange_id exchange);
+
+//------------------------------------------------------------------------------------------------------------------
+// membership.cpp, for servers that announce themselves
+//------------------------------------------------------------------------------------------------------------------
+
+/// Takes a valid announcement of a server without a sidecar; a late or doubled one changes nothing.
+void takeServer(reduction& r, const server_announcement& announcement);
+/// @param incarnation of the server that leaves; a later one stays. 0: whichever is there.
+void withdrawServer(reduction& r, const std::string& backend, std::uint64_t incarnation);
+
 Json::Value describeGroups(const controller_state& state, time_point now);
 Json::Value describeBackend(const wire::backend_record& record);
 void replyWithDump(reduction& r, exchange_id exchange);
--- a/libs/core/src/controller/membership.cpp
+++ b/libs/core/src/controller/membership.cpp
@@ -107,6 +107,37 @@
         entry.leaseEnd = r.now + r.state.settings.announceLease;
     }
 
+    /// @return whether the announcement is older than what is known of the server.
+    bool isOutdated(const announced_backend& known, const server_announcement& announcement)
+    {
+        const auto& record = announcement.backend;
+        if (record.incarnation != known.record.incarnation) {
+            return record.incarnation < known.record.incarnation;
+        }
+        return announcement.sequence != 0 && announcement.sequence <= known.sequence;
+    }
+
+    /// An address belongs to the server that started last.
+    /// @return whether another server that started later holds the address.
+    bool takeOverAddress(reduction& r, const wire::backend_record& record)
+    {
+        std::vector<std::string> replaced;
+        for (const auto& [id, known] : r.state.members.backends) {
+            const bool isOther = id != record.backend && !known.record.withdrawn && known.record.address == record.address;
+            if (isOther && known.record.incarnation > record.incarnation) {
+                return false;
+            }
+            if (isOther) {
+                replaced.push_back(id);
+            }
+        }
+        for (const auto& id : replaced) {
+            log(r, log_level::Info, "backend_replaced", { { "backend", id }, { "by", record.backend } });
+            withdraw(r, id);
+        }
+        return true;
+    }
+
     void forgetOldestWithdrawn(membership& members)
     {
         for (const auto& [revision, id] : members.changes.byRevision) {
@@ -165,6 +196,55 @@
     answer(r, peer, std::move(response));
 }
 
+void takeServer(reduction& r, const server_announcement& announcement)
+{
+    ++r.state.counters.announcements;
+    auto& members = r.state.members;
+    if (members.backends.size() >= maxBackends) {
+        forgetOldestWithdrawn(members);
+    }
+    auto record = announcement.backend;
+    const auto known = members.backends.find(record.backend);
+    const bool isNew = known == members.backends.end();
+    if (!isNew && isOutdated(known->second, announcement)) {
+        return;
+    }
+    if (!takeOverAddress(r, record)) {
+        return;
+    }
+    const bool isSameStart = !isNew && known->second.record.incarnation == record.incarnation;
+    const bool hasLeft = isSameStart && known->second.isLeaving;
+    const bool wasDraining = isSameStart && known->second.record.draining;
+    record.withdrawn = announcement.isLeaving || hasLeft;
+    record.draining = record.draining || wasDraining || r.state.control.drains.contains(record.backend);
+    if (isNew || !isSameStart || record.draining != wasDraining) {
+        log(r, log_level::Info, "backend_announced",
+            { { "backend", record.backend }, { "address", record.address }, { "service", record.service },
+                { "domain", record.failureDomain }, { "draining", record.draining ? "yes" : "no" },
+                { "incarnation", std::to_string(record.incarnation) } });
+    }
+    const auto id = record.backend;
+    putRecord(r, std::move(record));
+    auto& entry = members.backends.at(id);
+    entry.isLeaving = announcement.isLeaving || hasLeft;
+    entry.sequence = announcement.sequence;
+    entry.leaseEnd = r.now + r.state.settings.announceLease;
+}
+
+void withdrawServer(reduction& r, const std::string& backend, std::uint64_t incarnation)
+{
+    const auto known = r.state.members.backends.find(backend);
+    if (known == r.state.members.backends.end() || known->second.record.withdrawn) {
+        return;
+    }
+    if (incarnation != 0 && incarnation < known->second.record.incarnation) {
+        return;
+    }
+    log(r, log_level::Info, "backend_withdrawn", { { "backend", backend } });
+    known->second.isLeaving = true;
+    withdraw(r, backend);
+}
+
 void noteDrain(reduction& r, const std::string& backend)
 {
     const bool isDraining = r.state.control.drains.contains(backend);
--- a/libs/core/src/controller/programs.cpp
+++ b/libs/core/src/controller/programs.cpp
@@ -1,5 +1,7 @@
 #include <controller/internal.hpp>
 
+#include <core/group.hpp>
+
 namespace cuminledge::core::controller {
 
 namespace {
@@ -116,4 +118,19 @@
     }
 }
 
+void countTime(reduction& r, hosted_group& group)
+{
+    const bool isDue = r.now - group.clockCountedAt >= store::clockInterval;
+    if (group.group == systemGroup || !group.isServing || !isDue) {
+        return;
+    }
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(r.now - group.clockCountedAt);
+    group.clockCountedAt += elapsed;
+    if (group.shard.budgets.empty() && group.shard.turns.empty()) {
+        return; // nothing is stamped with the clock, so it may stand still
+    }
+    // Time that is not committed counts for nothing: all is kept a little longer.
+    static_cast<void>(propose(r, group, wire::advance_time { group.group, elapsed }, own_origin {}));
+}
+
 } // namespace cuminledge::core::controller
--- a/libs/core/src/controller/rates.cpp
+++ b/libs/core/src/controller/rates.cpp
@@ -26,19 +26,47 @@
 
 } // namespace
 
+namespace {
+
+    struct account_limit {
+        std::string account;
+        limits::rate_limit limit;
+    };
+
+    /// Only the accounts that have a limit, from whichever configuration the deployment uses.
+    std::vector<account_limit> configuredLimits(const controller_state& state)
+    {
+        std::vector<account_limit> limits;
+        if (state.manifest) {
+            for (const auto& account : state.manifest->clientAccounts) {
+                limits.push_back({ account.id, { account.ratePerSecond, static_cast<double>(account.burst) } });
+            }
+        }
+        if (state.routes) {
+            for (const auto& account : state.routes->accounts) {
+                if (account.ratePerSecond > 0) {
+                    limits.push_back({ account.name, { account.ratePerSecond, account.burst } });
+                }
+            }
+        }
+        return limits;
+    }
+
+} // namespace
+
 void applyLimits(reduction& r, hosted_group& group)
 {
-    if (!r.state.manifest || group.group == systemGroup) {
+    const bool isConfigured = r.state.manifest || r.state.routes;
+    if (!isConfigured || group.group == systemGroup) {
         return;
     }
     std::set<std::string> known;
-    for (const auto& account : r.state.manifest->clientAccounts) {
-        if (groupOfAccount(account.id, r.state.settings.groupCount) != group.group) {
+    for (const auto& [account, limit] : configuredLimits(r.state)) {
+        if (groupOfAccount(account, r.state.settings.groupCount) != group.group) {
             continue;
         }
-        known.insert(account.id);
-        const limits::rate_limit limit { account.ratePerSecond, static_cast<double>(account.burst) };
-        limits::setAccountLimit(group.authority, account.id, limit, r.now);
+        known.insert(account);
+        limits::setAccountLimit(group.authority, account, limit, r.now);
     }
     std::vector<std::string> gone;
     for (const auto& [id, account] : group.authority.accounts) {
--- a/libs/core/src/controller_client/controller_client.cpp
+++ b/libs/core/src/controller_client/controller_client.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <core/seeds.hpp>
+
 namespace cuminledge::core::controller_client {
 
 namespace {
@@ -45,6 +47,12 @@
 {
     constexpr std::size_t maxControllers = 64;
     std::vector<controller_address> controllers;
+    if (reader.has("seeds")) {
+        for (auto& seed : readSeeds(reader)) {
+            controllers.push_back({ seed.peerAddress, seed.peerAddress });
+        }
+        return controllers;
+    }
     reader.objects("controllers", maxControllers, [&](json_object_reader& each) {
         auto name = each.string("name", 1, 64);
         auto address = each.string("address", 1, 64);
--- /dev/null
+++ b/libs/core/src/forward/context.cpp
@@ -0,0 +1,43 @@
+#include "context.hpp"
+
+namespace cuminledge::core::forward {
+
+const char* toString(call_step step)
+{
+    switch (step) {
+    case call_step::Rate:
+        return "rate";
+    case call_step::Prepare:
+        return "prepare";
+    case call_step::Run:
+        return "run";
+    case call_step::Retain:
+        return "retain";
+    }
+    return "rate";
+}
+
+void logCall(context& c, log_level level, const char* name, const forward_call& subject,
+    std::vector<std::pair<std::string, std::string>> fields)
+{
+    write_log line;
+    line.level = level;
+    line.event = name;
+    line.fields = { { "request", subject.request.attempt }, { "route", subject.route.name },
+        { "account", subject.account }, { "step", toString(subject.step) },
+        { "age_ms", std::to_string(age(c, subject).count()) } };
+    line.fields.insert(line.fields.end(), std::make_move_iterator(fields.begin()), std::make_move_iterator(fields.end()));
+    c.out.emplace_back(std::move(line));
+}
+
+void count(context& c, const char* name)
+{
+    c.out.emplace_back(record_metric { name, 1, false });
+}
+
+std::chrono::milliseconds age(const context& c, const forward_call& subject)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(c.now - subject.arrived);
+}
+
+} // namespace cuminledge::core::forward
--- /dev/null
+++ b/libs/core/src/forward/dump.cpp
@@ -0,0 +1,83 @@
+#include "dump.hpp"
+
+#include <base/json.hpp>
+
+namespace cuminledge::core::forward {
+
+namespace {
+
+    Json::Value describeServers(const context& c)
+    {
+        Json::Value servers(Json::arrayValue);
+        for (const auto& [id, entry] : c.state.servers.servers) {
+            Json::Value server(Json::objectValue);
+            server["id"] = id;
+            server["address"] = entry.record.address;
+            server["service"] = entry.record.service;
+            server["failure_domain"] = entry.record.failureDomain;
+            server["draining"] = entry.record.draining;
+            server["gone"] = entry.isGone;
+            server["in_flight"] = entry.inFlight;
+            server["failures"] = entry.failures;
+            server["avoided"] = c.now < entry.avoidUntil;
+            server["known_tokens"] = Json::Int64(entry.parts.tokens);
+            servers.append(server);
+        }
+        return servers;
+    }
+
+    Json::Value describeCalls(const context& c)
+    {
+        Json::Value calls(Json::arrayValue);
+        for (const auto& [exchange, subject] : c.state.calls) {
+            Json::Value call(Json::objectValue);
+            call["request"] = subject.request.attempt;
+            call["route"] = subject.route.name;
+            call["account"] = subject.account;
+            call["step"] = toString(subject.step);
+            call["age_ms"] = Json::Int64(age(c, subject).count());
+            call["server"] = subject.server;
+            call["sends"] = subject.sends;
+            calls.append(call);
+        }
+        return calls;
+    }
+
+    Json::Value describeCounters(const forwarder_counters& counters)
+    {
+        Json::Value value(Json::objectValue);
+        value["requests"] = Json::UInt64(counters.requests);
+        value["refused"] = Json::UInt64(counters.refused);
+        value["answered"] = Json::UInt64(counters.answered);
+        value["broken"] = Json::UInt64(counters.broken);
+        value["callers_gone"] = Json::UInt64(counters.callersGone);
+        value["sends"] = Json::UInt64(counters.sends);
+        value["not_run"] = Json::UInt64(counters.notRun);
+        value["lost"] = Json::UInt64(counters.lost);
+        value["resumed"] = Json::UInt64(counters.resumed);
+        value["chains_cached"] = Json::UInt64(counters.chainsCached);
+        value["chains_read"] = Json::UInt64(counters.chainsRead);
+        value["expired"] = Json::UInt64(counters.expired);
+        value["stray_messages"] = Json::UInt64(counters.strayMessages);
+        return value;
+    }
+
+} // namespace
+
+std::string dumpState(const context& c)
+{
+    const auto& state = c.state;
+    Json::Value dump(Json::objectValue);
+    dump["name"] = state.identity.name;
+    dump["ready"] = state.isReady;
+    dump["routes_version"] = Json::UInt64(state.configuration.table.version);
+    dump["configuration_age_ms"] = Json::Int64(
+        std::chrono::duration_cast<std::chrono::milliseconds>(c.now - state.configuration.confirmedAt).count());
+    dump["cached_turn_bytes"] = Json::UInt64(state.turns.bytes);
+    dump["servers"] = describeServers(c);
+    dump["calls"] = describeCalls(c);
+    dump["counters"] = describeCounters(state.counters);
+    return writeJson(dump);
+}
+
+} // namespace cuminledge::core::forward
--- /dev/null
+++ b/libs/core/src/forward/event_splitter.cpp
@@ -0,0 +1,82 @@
+#include <core/forward/event_splitter.hpp>
+
+#include <utility>
+
+namespace cuminledge::core::forward {
+
+namespace {
+
+    std::string_view valueOf(std::string_view line, std::string_view field)
+    {
+        auto value = line.substr(field.size());
+        if (!value.empty() && value.front() == ' ') {
+            value.remove_prefix(1);
+        }
+        return value;
+    }
+
+    void readLine(stream_piece& piece, std::string_view line, bool& hasData)
+    {
+        constexpr std::string_view idField = "id:";
+        constexpr std::string_view dataField = "data:";
+        if (line.starts_with(idField)) {
+            piece.id = valueOf(line, idField);
+        } else if (line.starts_with(dataField)) {
+            piece.data += hasData ? "\n" : "";
+            piece.data += valueOf(line, dataField);
+            hasData = true;
+        }
+    }
+
+    stream_piece readPiece(std::string bytes)
+    {
+        stream_piece piece;
+        bool hasData = false;
+        std::size_t start = 0;
+        while (start < bytes.size()) {
+            const auto end = bytes.find('\n', start);
+            auto line = std::string_view(bytes).substr(start, end - start);
+            if (!line.empty() && line.back() == '\r') {
+                line.remove_suffix(1);
+            }
+            readLine(piece, line, hasData);
+            start = end + 1;
+        }
+        piece.bytes = std::move(bytes);
+        return piece;
+    }
+
+    /// @return where the first whole event ends, or npos.
+    std::size_t endOfEvent(const std::string& bytes)
+    {
+        std::size_t start = 0;
+        while (start < bytes.size()) {
+            const auto end = bytes.find('\n', start);
+            if (end == std::string::npos) {
+                return end;
+            }
+            const bool isBlank = end == start || (end == start + 1 && bytes[start] == '\r');
+            if (isBlank) {
+                return end + 1;
+            }
+            start = end + 1;
+        }
+        return std::string::npos;
+    }
+
+} // namespace
+
+bool feed(event_splitter& splitter, std::string_view bytes, const std::function<void(stream_piece&&)>& visit)
+{
+    splitter.partial += bytes;
+    auto end = endOfEvent(splitter.partial);
+    while (end != std::string::npos) {
+        auto event = splitter.partial.substr(0, end);
+        splitter.partial.erase(0, end);
+        visit(readPiece(std::move(event)));
+        end = endOfEvent(splitter.partial);
+    }
+    return splitter.partial.size() <= maxEventBytes;
+}
+
+} // namespace cuminledge::core::forward
--- /dev/null
+++ b/libs/core/src/forward/forwarder_settings.cpp
@@ -0,0 +1,27 @@
+#include <core/forward/forwarder_settings.hpp>
+
+namespace cuminledge::core::forward {
+
+forwarder_settings readSettings(json_object_reader& reader)
+{
+    using std::chrono::milliseconds;
+    constexpr milliseconds minute { 60'000 };
+    forwarder_settings settings;
+    const auto span = [&](const char* key, milliseconds minimum, milliseconds& value) {
+        value = reader.milliseconds(key, minimum, minute, value);
+    };
+    settings.controllers = controller_client::readControllers(reader);
+    span("config_poll_interval_ms", milliseconds(50), settings.configPollInterval);
+    span("controller_timeout_ms", milliseconds(100), settings.controllerTimeout);
+    span("settle_timeout_ms", milliseconds(100), settings.settleTimeout);
+    span("retry_advice_ms", milliseconds(1), settings.retryAdvice);
+    span("shutdown_delay_ms", milliseconds(0), settings.shutdownDelay);
+    span("shutdown_limit_ms", milliseconds(100), settings.shutdownLimit);
+    settings.cacheBytes = static_cast<std::size_t>(
+        reader.integer("cache_bytes", 0, 1 << 30, static_cast<std::int64_t>(settings.cacheBytes)));
+    settings.maxCalls = static_cast<std::size_t>(
+        reader.integer("max_calls", 1, 1'000'000, static_cast<std::int64_t>(settings.maxCalls)));
+    return settings;
+}
+
+} // namespace cuminledge::core::forward
--- /dev/null
+++ b/libs/core/src/forward/rate.cpp
@@ -0,0 +1,121 @@
+#include "rate.hpp"
+
+#include <algorithm>
+
+#include <core/group.hpp>
+
+#include "answers.hpp"
+#include "turns.hpp"
+
+namespace cuminledge::core::forward {
+
+namespace {
+
+    void refuse(context& c, forward_call& subject, std::chrono::milliseconds retryAfter)
+    {
+        failCall(c, subject,
+            { error_code::RateLimited, "the client account's rate is used up",
+                std::max(retryAfter, std::chrono::milliseconds(1)) });
+    }
+
+    void send(context& c, const std::vector<wire::rate_lease_request>& requests)
+    {
+        for (auto request : requests) {
+            request.group = groupOfAccount(request.account, c.state.configuration.groupCount);
+            const auto target = controller_client::targetOf(c.state.controllers, request.group);
+            if (!target.empty()) {
+                c.out.emplace_back(send_message { target, std::move(request) });
+            }
+        }
+    }
+
+    /// @return the call of the account that has waited longest, taken out of the queue; null where none waits.
+    forward_call* takeWaiting(context& c, const std::string& account)
+    {
+        const auto queue = c.state.rateQueues.find(account);
+        if (queue == c.state.rateQueues.end()) {
+            return nullptr;
+        }
+        const auto exchange = queue->second.front();
+        queue->second.pop_front();
+        if (queue->second.empty()) {
+            c.state.rateQueues.erase(queue);
+        }
+        return &c.state.calls.at(exchange);
+    }
+
+} // namespace
+
+void requestRate(context& c, forward_call& subject)
+{
+    const auto spent = limits::trySpend(c.state.rate, subject.account, c.now);
+    switch (spent.decision) {
+    case limits::spend_decision::Admitted:
+        prepare(c, subject);
+        return;
+    case limits::spend_decision::Waiting:
+        subject.step = call_step::Rate;
+        c.state.rateQueues[subject.account].push_back(subject.exchange);
+        return;
+    case limits::spend_decision::Refused:
+    case limits::spend_decision::Overloaded:
+        refuse(c, subject, spent.retryAfter);
+        return;
+    }
+}
+
+void leaveRateQueue(context& c, forward_call& subject)
+{
+    const auto queue = c.state.rateQueues.find(subject.account);
+    if (queue == c.state.rateQueues.end()) {
+        return;
+    }
+    auto& waiting = queue->second;
+    const auto place = std::find(waiting.begin(), waiting.end(), subject.exchange);
+    if (place == waiting.end()) {
+        return;
+    }
+    waiting.erase(place);
+    if (waiting.empty()) {
+        c.state.rateQueues.erase(queue);
+    }
+    limits::cancelWaiting(c.state.rate, subject.account);
+}
+
+void sendRateRequests(context& c)
+{
+    send(c, limits::collectRequests(c.state.rate, c.now));
+}
+
+void onRateGrant(context& c, const std::string& peer, const wire::rate_lease_grant& grant)
+{
+    const auto group = groupOfAccount(grant.account, c.state.configuration.groupCount);
+    if (grant.notLeader) {
+        controller_client::noteNotLeader(c.state.controllers, group, peer, grant.leader);
+    } else {
+        controller_client::noteLeader(c.state.controllers, group, peer);
+    }
+    const auto outcome = limits::onRateGrant(c.state.rate, grant, c.now);
+    for (std::int64_t i = 0; i < outcome.admitted; ++i) {
+        if (auto* subject = takeWaiting(c, grant.account)) {
+            prepare(c, *subject);
+        }
+    }
+    for (std::int64_t i = 0; i < outcome.refused; ++i) {
+        if (auto* subject = takeWaiting(c, grant.account)) {
+            refuse(c, *subject, outcome.retryAfter);
+        }
+    }
+}
+
+void onRateRecall(context& c, const wire::rate_lease_recall& recall)
+{
+    send(c, limits::onRateRecall(c.state.rate, recall, c.now));
+}
+
+void returnRateTokens(context& c)
+{
+    send(c, limits::returnAll(c.state.rate, c.now));
+}
+
+} // namespace cuminledge::core::forward
--- a/libs/core/src/gateway/configuration.cpp
+++ b/libs/core/src/gateway/configuration.cpp
@@ -2,17 +2,12 @@
 
 #include <set>
 
-#include <core/group.hpp>
-
 #include "lifecycle.hpp"
 
 namespace cuminledge::core::gateway {
 
 namespace {
 
-    /// An unanswered poll is given up after so many intervals, and another controller is asked.
-    constexpr int pollPatience = 2;
-
     void withdrawKey(context& c, const std::string& key)
     {
         ++c.state.counters.keysWithdrawn;
@@ -143,57 +138,30 @@
 void pollConfiguration(context& c)
 {
     auto& configuration = c.state.configuration;
-    if (c.now < configuration.nextPollAt) {
-        return;
-    }
-    auto& controllers = c.state.controllers;
-    const bool unanswered = configuration.pollRequest != 0;
-    if (unanswered && c.now < configuration.pollSentAt + c.state.settings.configPollInterval * pollPatience) {
-        return;
-    }
-    if (unanswered) {
-        controllers.leaders.erase(systemGroup);
-    }
-    const auto target = controller_client::targetOf(controllers, systemGroup);
-    configuration.nextPollAt = c.now + c.state.settings.configPollInterval;
-    configuration.pollRequest = 0;
-    if (target.empty()) {
-        return;
-    }
-    configuration.pollRequest = controllers.nextRequest++;
-    configuration.pollSentAt = c.now;
-    wire::config_poll poll;
-    poll.request = configuration.pollRequest;
-    poll.manifestNumber = configuration.manifestNumber;
-    poll.keyRevision = configuration.keyRevision;
-    poll.membershipEpoch = configuration.membershipEpoch;
-    poll.membershipVersion = configuration.membershipVersion;
-    poll.quarantineRevision = configuration.quarantineRevision;
-    c.out.emplace_back(send_message { target, poll });
+    wire::config_poll held;
+    held.manifestNumber = configuration.manifestNumber;
+    held.keyRevision = configuration.keyRevision;
+    held.membershipEpoch = configuration.membershipEpoch;
+    held.membershipVersion = configuration.membershipVersion;
+    held.quarantineRevision = configuration.quarantineRevision;
+    controller_client::pollConfiguration(
+        c.state.controllers, configuration.poll, held, c.state.settings.configPollInterval, c.now, c.out);
 }
 
 void repollConfiguration(context& c)
 {
-    c.state.configuration.pollRequest = 0;
-    c.state.configuration.nextPollAt = c.now;
+    controller_client::repollConfiguration(c.state.configuration.poll, c.now);
 }
 
 void onConfigUpdate(context& c, const std::string& peer, const wire::config_update& update)
 {
     auto& configuration = c.state.configuration;
-    if (update.request != configuration.pollRequest || configuration.pollRequest == 0) {
-        return;
-    }
-    configuration.pollRequest = 0;
-    if (update.notLeader) {
-        controller_client::noteNotLeader(c.state.controllers, systemGroup, peer, update.leader);
-        constexpr std::chrono::milliseconds redirectPause { 20 };
-        configuration.nextPollAt = c.now + redirectPause;
+    const auto sentAt = configuration.poll.sentAt;
+    if (!controller_client::acceptUpdate(
+            c.state.controllers, configuration.poll, peer, update, c.state.settings.configPollInterval, c.now)) {
         return;
     }
-    controller_client::noteLeader(c.state.controllers, systemGroup, peer);
-    configuration.nextPollAt = configuration.pollSentAt + c.state.settings.configPollInterval;
-    configuration.leaseUntil = configuration.pollSentAt + update.lease;
+    configuration.leaseUntil = sentAt + update.lease;
     configuration.groupCount = std::max<std::uint32_t>(update.groupCount, 1);
     applyManifest(c, update);
     applyKeys(c, update);
--- a/libs/core/src/node.cpp
+++ b/libs/core/src/node.cpp
@@ -13,6 +13,9 @@
         if (self.gateway) {
             self.gateway->identity = self.identity;
         }
+        if (self.forwarder) {
+            self.forwarder->identity = self.identity;
+        }
         if (self.sidecar) {
             self.sidecar->identity = self.identity;
         }
@@ -29,6 +32,8 @@
     }
     if (self.gateway) {
         gateway::reduceGateway(*self.gateway, happened, now, self.random, out);
+    } else if (self.forwarder) {
+        forward::reduceForwarder(*self.forwarder, happened, now, self.random, out);
     } else if (self.sidecar) {
         sidecar::reduceSidecar(*self.sidecar, happened, now, self.random, out);
     } else if (self.controller) {
--- a/libs/core/src/store/control_state.cpp
+++ b/libs/core/src/store/control_state.cpp
@@ -261,6 +261,20 @@
         return wire::acknowledged { revision };
     }
 
+    //--------------------------------------------------------------------------------------------------------------
+    // Route tables
+    //--------------------------------------------------------------------------------------------------------------
+
+    wire::command_result applyCommand(control_state& state, const wire::accept_routes& command)
+    {
+        if (command.version > state.routesVersion) {
+            state.routesVersion = command.version;
+            state.routes = command.table;
+            state.routesDocument = command.document;
+        }
+        return wire::acknowledged { state.routesVersion };
+    }
+
     /// Every other command belongs to one of the groups 1..N.
     template <typename Command>
     wire::command_result applyCommand(control_state& /*state*/, const Command& /*command*/)
--- a/libs/core/src/store/group.cpp
+++ b/libs/core/src/store/group.cpp
@@ -13,6 +13,9 @@
     template <typename Command>
     constexpr bool isCallCommand = std::is_same_v<Command, wire::record_call> || std::is_same_v<Command, wire::dispatch_call> || std::is_same_v<Command, wire::settle_call>;
 
+    template <typename Command>
+    constexpr bool isAccountCommand = std::is_same_v<Command, wire::reserve_rate> || std::is_same_v<Command, wire::reserve_tokens> || std::is_same_v<Command, wire::settle_tokens> || std::is_same_v<Command, wire::retain_turn>;
+
 } // namespace
 
 std::uint32_t groupOf(const wire::command& command, std::uint32_t groupCount)
@@ -24,8 +27,10 @@
                 return groupOfProgram(alternative.program, groupCount);
             } else if constexpr (isCallCommand<type>) {
                 return groupOfCall(alternative.account, alternative.call, groupCount);
-            } else if constexpr (std::is_same_v<type, wire::reserve_rate>) {
+            } else if constexpr (isAccountCommand<type>) {
                 return groupOfAccount(alternative.account, groupCount);
+            } else if constexpr (std::is_same_v<type, wire::advance_time>) {
+                return alternative.group;
             } else {
                 return systemGroup;
             }
@@ -40,6 +45,8 @@
             using type = std::decay_t<decltype(alternative)>;
             if constexpr (std::is_same_v<type, wire::read_call>) {
                 return groupOfCall(alternative.account, alternative.call, groupCount);
+            } else if constexpr (std::is_same_v<type, wire::read_chain>) {
+                return groupOfAccount(alternative.account, groupCount);
             } else if constexpr (std::is_same_v<type, wire::read_ended_programs>) {
                 return alternative.programs.empty() ? 1 : groupOfProgram(alternative.programs.front(), groupCount);
             } else {
--- a/libs/core/src/store/snapshot.cpp
+++ b/libs/core/src/store/snapshot.cpp
@@ -107,7 +107,14 @@
         MSGPACK_DEFINE(backend)
     };
 
-    using control_record = std::variant<control_header, key_entry, crash_entry, drain_entry, orderer>;
+    struct routes_entry {
+        std::uint64_t version = 0;
+        std::string table;
+        std::string document;
+        MSGPACK_DEFINE(version, table, document)
+    };
+
+    using control_record = std::variant<control_header, key_entry, crash_entry, drain_entry, orderer, routes_entry>;
 
     void restore(change_index& index, const std::string& id, std::uint64_t revision)
     {
@@ -159,6 +166,14 @@
         return {};
     }
 
+    result<void> restore(control_state& state, routes_entry entry)
+    {
+        state.routesVersion = entry.version;
+        state.routes = std::move(entry.table);
+        state.routesDocument = std::move(entry.document);
+        return {};
+    }
+
     //--------------------------------------------------------------------------------------------------------------
     // Groups 1..N
     //--------------------------------------------------------------------------------------------------------------
@@ -172,7 +187,33 @@
         MSGPACK_DEFINE(version, lastEndedOrder, lastSettledOrder, budgetOverruns, contradictions)
     };
 
-    using shard_record = std::variant<shard_header, program, call_record, wire::reserve_rate>;
+    struct clock_entry {
+        std::chrono::milliseconds clock { 0 };
+        MSGPACK_DEFINE(clock)
+    };
+
+    using shard_record = std::variant<shard_header, program, call_record, wire::reserve_rate, clock_entry,
+        program_budget, retained_turn>;
+
+    result<void> restore(shard_state& state, const clock_entry& entry)
+    {
+        state.clock = entry.clock;
+        return {};
+    }
+
+    result<void> restore(shard_state& state, program_budget budget)
+    {
+        const call_key key(budget.account, budget.program);
+        state.budgets[key] = std::move(budget);
+        return {};
+    }
+
+    result<void> restore(shard_state& state, retained_turn turn)
+    {
+        const call_key key(turn.account, turn.turn);
+        state.turns[key] = std::move(turn);
+        return {};
+    }
 
     result<void> restore(shard_state& state, const shard_header& header)
     {
@@ -258,6 +299,9 @@
     for (const auto& [backend, entry] : state.orderers) {
         appendRecord(bytes, control_record(entry));
     }
+    if (state.routesVersion != 0) {
+        appendRecord(bytes, control_record(routes_entry { state.routesVersion, state.routes, state.routesDocument }));
+    }
     return bytes;
 }
 
@@ -281,6 +325,13 @@
     for (const auto& [account, reservation] : state.rates) {
         appendRecord(bytes, shard_record(reservation));
     }
+    appendRecord(bytes, shard_record(clock_entry { state.clock }));
+    for (const auto& [key, budget] : state.budgets) {
+        appendRecord(bytes, shard_record(budget));
+    }
+    for (const auto& [key, turn] : state.turns) {
+        appendRecord(bytes, shard_record(turn));
+    }
     return bytes;
 }
 
--- a/libs/core/src/trace.cpp
+++ b/libs/core/src/trace.cpp
@@ -95,6 +95,24 @@
     void addFields(effect_hasher& hash, const stop_process& e) { hash.add(e.exitCode); }
     void addFields(effect_hasher& hash, const record_metric& e) { hash.add(e.name, e.value, e.isDistribution); }
 
+    void addFields(effect_hasher& hash, const forward_upstream& e)
+    {
+        hash.add(e.request, e.address, e.backend, e.attempt, e.method, e.target, e.host, e.headers, e.body, e.account,
+            e.timeLeft, e.lastEvent, e.freshConnection);
+    }
+    void addFields(effect_hasher& hash, const begin_answer& e) { hash.add(e.exchange, e.status, e.headers, e.length); }
+    void addFields(effect_hasher& hash, const answer_data& e) { hash.add(e.exchange, e.data); }
+    void addFields(effect_hasher& hash, const end_answer& e) { hash.add(e.exchange); }
+    void addFields(effect_hasher& hash, const refuse_caller& e)
+    {
+        hash.add(e.exchange, e.code, e.mayHaveRun, e.retryAfter, e.message);
+    }
+    void addFields(effect_hasher&, const announce_closing&) { }
+    void addFields(effect_hasher& hash, const reply_to_control& e)
+    {
+        hash.add(e.exchange, e.outcome, e.leader, e.document, e.state, e.message);
+    }
+
     std::size_t bodySize(std::string_view trace)
     {
         std::size_t size = 0;
--- a/libs/host/include/host/process.hpp
+++ b/libs/host/include/host/process.hpp
@@ -4,6 +4,7 @@
 
 #include <base/clock.hpp>
 #include <base/error.hpp>
+#include <host/external_interface.hpp>
 #include <host/settings.hpp>
 
 namespace cuminledge::host {
@@ -19,7 +20,8 @@
 class process {
 public:
     /// @param clock outlives the process.
-    process(loaded_settings settings, const clock_source& clock);
+    /// @param interface for a forwarding gateway, and for a controller with a control address; else unused.
+    process(loaded_settings settings, const clock_source& clock, external_interface interface = {});
     ~process();
 
     process(const process&) = delete;
--- a/libs/host/include/host/settings.hpp
+++ b/libs/host/include/host/settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -34,6 +35,9 @@
     std::string adminAddress; ///< /livez, /readyz, /metrics, /debug/state
     std::string callerAddress; ///< gateway: callers' HTTP
     std::string operatorAddress; ///< controller: operators' JSON-RPC
+    std::string controlAddress; ///< controller of a deployment with route tables: backend servers and operators
+    std::string readinessPath = "/readyz"; ///< on the admin listener
+    std::chrono::milliseconds tickInterval { 10 }; ///< how often deadlines are looked at
     std::string dataFolder; ///< controller: log and snapshots
     std::size_t maxBodyBytes = 4U << 20U; ///< of a caller's request
     std::uint32_t maxConnections = 10000; ///< of callers
--- a/libs/host/src/admin_listener.cpp
+++ b/libs/host/src/admin_listener.cpp
@@ -29,9 +29,10 @@
 
 } // namespace
 
-admin_listener::admin_listener(boost::asio::io_context& context, const std::string& address, const metrics& registry,
-    std::function<void(core::exchange_id)> onDump)
-    : m_metrics(registry)
+admin_listener::admin_listener(boost::asio::io_context& context, const std::string& address, std::string readinessPath,
+    const metrics& registry, std::function<void(core::exchange_id)> onDump)
+    : m_readinessPath(std::move(readinessPath))
+    , m_metrics(registry)
     , m_onDump(std::move(onDump))
     , m_server(context, makeServerSettings(address),
           { [this](net::http_request&& request) { onRequest(request); },
@@ -63,7 +64,7 @@
         m_server.reply(request.exchange, net::makeProblem(405, "invalid_argument", "only GET is served here"));
     } else if (request.target == "/livez") {
         m_server.reply(request.exchange, text(200, "live\n"));
-    } else if (request.target == "/readyz") {
+    } else if (request.target == m_readinessPath) {
         m_server.reply(request.exchange, m_ready ? text(200, "ready\n") : text(503, "not ready: " + m_reason + "\n"));
     } else if (request.target == "/metrics") {
         m_server.reply(request.exchange, text(200, m_metrics.toPrometheus()));
--- a/libs/host/src/admin_listener.hpp
+++ b/libs/host/src/admin_listener.hpp
@@ -10,19 +10,20 @@
 namespace cuminledge::host {
 
 /**
- * Answers a process's admin listener: /livez, /readyz, /metrics, /debug/state. The state comes from the reducer, by a
+ * Answers a process's admin listener: /livez, the readiness path, /metrics, /debug/state. The state comes from the reducer, by a
  * dump_requested event; reply() answers it later.
  */
 class admin_listener {
 public:
     /// @param onDump called with the exchange of each GET /debug/state.
-    admin_listener(boost::asio::io_context& context, const std::string& address, const metrics& registry,
-        std::function<void(core::exchange_id)> onDump);
+    /// @param readinessPath where the balancer asks, e.g. "/readyz".
+    admin_listener(boost::asio::io_context& context, const std::string& address, std::string readinessPath,
+        const metrics& registry, std::function<void(core::exchange_id)> onDump);
 
     /// Binds and starts to accept.
     result<std::uint16_t> listen();
 
-    /// What /readyz answers from now on.
+    /// What the readiness path answers from now on.
     void setReady(bool ready, const std::string& reason);
 
     /// Answers a dump. @param body JSON object.
@@ -31,6 +32,7 @@
 private:
     void onRequest(const net::http_request& request);
 
+    std::string m_readinessPath;
     const metrics& m_metrics;
     std::function<void(core::exchange_id)> m_onDump;
     bool m_ready = false;
--- a/libs/host/src/process.cpp
+++ b/libs/host/src/process.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <deque>
 #include <fstream>
+#include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -32,9 +33,9 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds tickInterval { 10 };
     constexpr std::uint8_t callerListenerNumber = 1;
     constexpr std::uint8_t operatorListenerNumber = 3;
+    constexpr std::uint8_t controlListenerNumber = 4;
     constexpr std::size_t seedBytes = 8;
     constexpr std::size_t maxManifestRequestBytes = 20U << 20U; // the largest JSON document, quoted once more
 
@@ -77,6 +78,14 @@
         return server;
     }
 
+    net::http_server_settings makeControlSettings(const process_settings& settings)
+    {
+        auto server = makeOperatorSettings(settings);
+        server.address = settings.controlAddress;
+        server.listener = controlListenerNumber;
+        return server;
+    }
+
     Json::Value describePeers(const net::peer_transport& transport)
     {
         Json::Value peers(Json::arrayValue);
@@ -120,8 +129,9 @@
 
 class process::impl {
 public:
-    impl(loaded_settings settings, const clock_source& clock)
+    impl(loaded_settings settings, const clock_source& clock, external_interface interface)
         : m_settings(std::move(settings.process))
+        , m_interface(std::move(interface))
         , m_node(std::move(settings.node))
         , m_clock(clock)
         , m_signals(m_context)
@@ -155,6 +165,13 @@
     void carryOut(const core::close_listeners&);
     void carryOut(const core::stop_process& e);
     void carryOut(const core::record_metric& e) { m_metrics.add(e.name, e.value, e.isDistribution); }
+    void carryOut(core::forward_upstream& e) { m_client->start(m_interface.encodeUpstream(std::move(e))); }
+    void carryOut(const core::begin_answer& e) { m_callers->beginAnswer(e.exchange, e.status, e.headers, e.length); }
+    void carryOut(const core::answer_data& e) { m_callers->answerData(e.exchange, e.data); }
+    void carryOut(const core::end_answer& e) { m_callers->endAnswer(e.exchange); }
+    void carryOut(const core::refuse_caller& e) { m_callers->reply(e.exchange, m_interface.encodeRefusal(e)); }
+    void carryOut(const core::announce_closing&) { m_callers->announceClosing(); }
+    void carryOut(const core::reply_to_control& e);
 
 private:
     result<void> start();
@@ -163,6 +180,10 @@
     void makeClient();
     void makeCallers();
     void makeOperators();
+    void makeControl();
+    void onCallerRequest(net::http_request&& request);
+    void onControlRequest(net::http_request&& request);
+    void onUpstreamHead(const std::string& request, net::response_head&& head);
     void happen(core::event event);
     void drainEvents();
     void scheduleTick();
@@ -170,6 +191,7 @@
     [[nodiscard]] std::string addHostState(const std::string& body) const;
 
     process_settings m_settings;
+    external_interface m_interface;
     core::node m_node;
     const clock_source& m_clock;
     asio::io_context m_context { 1 };
@@ -186,6 +208,8 @@
     std::unique_ptr<net::http_client> m_client;
     std::unique_ptr<net::http_server> m_callers;
     std::unique_ptr<net::rpc_connector> m_operators;
+    std::unique_ptr<net::http_server> m_control;
+    std::unordered_map<std::uint64_t, std::string> m_controlTargets; ///< of control calls that are not answered yet
     std::unique_ptr<admin_listener> m_admin;
     std::unique_ptr<disk> m_disk;
 };
@@ -215,8 +239,8 @@
 void process::impl::makeClient()
 {
     net::http_client_handlers handlers;
-    handlers.onResponse = [this](const std::string& request, std::uint32_t status) {
-        happen(core::upstream_response { request, status });
+    handlers.onResponse = [this](const std::string& request, net::response_head&& head) {
+        onUpstreamHead(request, std::move(head));
     };
     handlers.onData = [this](const std::string& request, std::string&& data) {
         happen(core::upstream_data { request, std::move(data) });
@@ -231,10 +255,7 @@
 void process::impl::makeCallers()
 {
     net::http_server_handlers handlers;
-    handlers.onRequest = [this](net::http_request&& request) {
-        happen(core::caller_request { request.exchange, request.connection, std::move(request.method),
-            std::move(request.target), std::move(request.headers), std::move(request.body) });
-    };
+    handlers.onRequest = [this](net::http_request&& request) { onCallerRequest(std::move(request)); };
     handlers.onGone = [this](std::uint64_t exchange, const std::string&) { happen(core::caller_gone { exchange }); };
     m_callers = std::make_unique<net::http_server>(m_context, makeCallerSettings(m_settings), std::move(handlers));
 }
@@ -250,6 +271,61 @@
         core::controller::operatorMethods(), std::move(handlers));
 }
 
+void process::impl::makeControl()
+{
+    net::http_server_handlers handlers;
+    handlers.onRequest = [this](net::http_request&& request) { onControlRequest(std::move(request)); };
+    handlers.onGone = [this](std::uint64_t exchange, const std::string&) { m_controlTargets.erase(exchange); };
+    m_control = std::make_unique<net::http_server>(m_context, makeControlSettings(m_settings), std::move(handlers));
+}
+
+void process::impl::onCallerRequest(net::http_request&& request)
+{
+    if (!m_node.forwarder) {
+        happen(core::caller_request { request.exchange, request.connection, std::move(request.method),
+            std::move(request.target), std::move(request.headers), std::move(request.body) });
+        return;
+    }
+    const auto exchange = request.exchange;
+    auto decoded = m_interface.decodeCaller(std::move(request));
+    if (decoded) {
+        happen(std::move(*decoded));
+        return;
+    }
+    const auto& problem = decoded.error();
+    logEvent(log_level::Warning, "request_unreadable", { { "message", problem.message } });
+    m_callers->reply(exchange,
+        m_interface.encodeRefusal({ exchange, problem.code, false, std::chrono::milliseconds(0), problem.message }));
+}
+
+void process::impl::onControlRequest(net::http_request&& request)
+{
+    const auto exchange = request.exchange;
+    m_controlTargets[exchange] = request.target;
+    auto decoded = m_interface.decodeControl(std::move(request));
+    if (decoded) {
+        happen(std::move(*decoded));
+        return;
+    }
+    const auto& problem = decoded.error();
+    logEvent(log_level::Warning, "control_call_unreadable",
+        { { "step", problem.step }, { "message", problem.message } });
+    core::reply_to_control reply;
+    reply.exchange = exchange;
+    reply.outcome = problem.code == error_code::NotFound ? core::control_outcome::NotFound : core::control_outcome::Invalid;
+    reply.message = problem.message;
+    carryOut(reply);
+}
+
+void process::impl::onUpstreamHead(const std::string& request, net::response_head&& head)
+{
+    if (m_node.forwarder) {
+        happen(m_interface.decodeUpstream(request, std::move(head)));
+    } else {
+        happen(core::upstream_response { request, head.status });
+    }
+}
+
 result<void> process::impl::openDisk()
 {
     m_disk = std::make_unique<disk>(
@@ -276,7 +352,7 @@
     }
     makeTransport();
     makeClient();
-    m_admin = std::make_unique<admin_listener>(m_context, m_settings.adminAddress, m_metrics,
+    m_admin = std::make_unique<admin_listener>(m_context, m_settings.adminAddress, m_settings.readinessPath, m_metrics,
         [this](core::exchange_id exchange) { happen(core::dump_requested { exchange }); });
     if (m_settings.role == process_role::Gateway) {
         makeCallers();
@@ -284,7 +360,12 @@
     const auto seed = std::stoull(randomHex(seedBytes), nullptr, 16);
     m_events.emplace_back(core::process_started { seed, m_incarnation });
     if (m_settings.role == process_role::Controller) {
-        makeOperators();
+        if (!m_settings.operatorAddress.empty()) {
+            makeOperators();
+        }
+        if (!m_settings.controlAddress.empty()) {
+            makeControl();
+        }
         if (auto opened = openDisk(); !opened) {
             return opened;
         }
@@ -299,6 +380,9 @@
     if (listening && m_operators) {
         listening = check(m_operators->listen());
     }
+    if (listening && m_control) {
+        listening = check(m_control->listen());
+    }
     return listening;
 }
 
@@ -360,7 +444,7 @@
 
 void process::impl::scheduleTick()
 {
-    m_timer.expires_after(tickInterval);
+    m_timer.expires_after(m_settings.tickInterval);
     m_timer.async_wait([this](const boost::system::error_code& failed) {
         if (!failed) {
             happen(core::tick {});
@@ -398,6 +482,14 @@
     }
 }
 
+void process::impl::carryOut(const core::reply_to_control& e)
+{
+    const auto target = m_controlTargets.extract(e.exchange);
+    if (target) {
+        m_control->reply(e.exchange, m_interface.encodeControl(e, target.mapped()));
+    }
+}
+
 void process::impl::carryOut(core::start_upstream& e)
 {
     net::client_request request;
@@ -452,6 +544,9 @@
     if (m_operators) {
         m_operators->closeListener();
     }
+    if (m_control) {
+        m_control->closeListener();
+    }
 }
 
 void process::impl::carryOut(const core::stop_process& e)
@@ -462,8 +557,8 @@
 
 //------------------------------------------------------------------------------------------------------------------
 
-process::process(loaded_settings settings, const clock_source& clock)
-    : m_impl(std::make_unique<impl>(std::move(settings), clock))
+process::process(loaded_settings settings, const clock_source& clock, external_interface interface)
+    : m_impl(std::make_unique<impl>(std::move(settings), clock, std::move(interface)))
 {
 }
 
--- a/libs/host/src/program.cpp
+++ b/libs/host/src/program.cpp
@@ -47,7 +47,7 @@
         return report->differences == 0 ? 0 : exitFailed;
     }
 
-    int runWith(process_role role, const cxxopts::ParseResult& arguments)
+    int runWith(process_role role, const cxxopts::ParseResult& arguments, external_interface interface)
     {
         auto loaded = loadSettings(arguments["config"].as<std::string>(), role);
         if (!loaded) {
@@ -63,13 +63,13 @@
         }
         startLog(loaded->process.identity.name, loaded->process.level);
         const monotonic_clock clock;
-        process self(std::move(*loaded), clock);
+        process self(std::move(*loaded), clock, std::move(interface));
         return self.run();
     }
 
 } // namespace
 
-int runProgram(process_role role, int argc, char** argv)
+int runProgram(process_role role, int argc, char** argv, external_interface interface)
 {
     auto options = makeOptions("cuminledge-" + std::string(toString(role)), role);
     try {
@@ -87,7 +87,7 @@
                       << options.help();
             return exitUsage;
         }
-        return runWith(role, arguments);
+        return runWith(role, arguments, std::move(interface));
     } catch (const cxxopts::exceptions::exception& e) {
         std::cerr << e.what() << "\n"
                   << options.help();
--- a/libs/host/src/settings.cpp
+++ b/libs/host/src/settings.cpp
@@ -89,6 +89,9 @@
         settings.secret = readSecret(reader);
         settings.peerAddress = readAddress(reader, "peer_address");
         settings.adminAddress = readAddress(reader, "admin_address");
+        settings.readinessPath = reader.string("readiness_path", 1, maxPathBytes, settings.readinessPath);
+        settings.tickInterval = reader.milliseconds(
+            "tick_ms", std::chrono::milliseconds(1), std::chrono::milliseconds(1'000), settings.tickInterval);
         settings.traceFile = reader.string("trace_file", 1, maxPathBytes, "");
         if (role == process_role::Gateway) {
             settings.callerAddress = readAddress(reader, "caller_address");
@@ -98,7 +101,12 @@
                 = static_cast<std::uint32_t>(reader.integer("max_connections", 1, 1000000, settings.maxConnections));
         }
         if (role == process_role::Controller) {
-            settings.operatorAddress = readAddress(reader, "operator_address");
+            if (reader.has("operator_address") || !reader.has("control_address")) {
+                settings.operatorAddress = readAddress(reader, "operator_address");
+            }
+            if (reader.has("control_address")) {
+                settings.controlAddress = readAddress(reader, "control_address");
+            }
             settings.dataFolder = reader.string("data_folder", 1, maxPathBytes);
         }
         return settings;
@@ -106,6 +114,13 @@
 
     void readRole(json_object_reader& reader, process_role role, core::node& node)
     {
+        if (role == process_role::Gateway && reader.has("forwarder")) {
+            reader.object("forwarder", [&node](json_object_reader& member) {
+                node.forwarder = std::make_unique<core::forward::forwarder_state>();
+                node.forwarder->settings = core::forward::readSettings(member);
+            });
+            return;
+        }
         if (!reader.has(toString(role))) {
             reader.fault(toString(role), "missing: expected an object");
         }
--- a/libs/net/include/net/http_client.hpp
+++ b/libs/net/include/net/http_client.hpp
@@ -22,6 +22,13 @@
     Answering ///< part of the answer came
 };
 
+/// The start of an answer.
+struct response_head {
+    std::uint32_t status = 0;
+    header_list headers; ///< names in lower case
+    std::int64_t length = -1; ///< of the body; -1: not stated
+};
+
 struct http_client_settings {
     std::chrono::milliseconds connectTimeout { 2'000 };
     std::chrono::milliseconds pooledIdleTimeout { 10'000 }; ///< an unused connection closes after it
@@ -40,6 +47,7 @@
     header_list headers;
     std::string body;
     bool eventStream = false; ///< deliver server-sent events one by one
+    bool keepsHost = false; ///< a Host header among `headers` is sent, rather than the address
     bool freshConnection = false; ///< not from the pool
     std::chrono::milliseconds silenceTimeout { 0 }; ///< no byte for so long fails it; 0: no bound
 };
@@ -47,7 +55,7 @@
 /// What the client tells its owner, on the io_context's thread, never from within start(). A request ends with exactly
 /// one onFinished or onFailed, unless it is cancelled.
 struct http_client_handlers {
-    std::function<void(const std::string& request, std::uint32_t status)> onResponse;
+    std::function<void(const std::string& request, response_head&& head)> onResponse;
 
     /// A piece of the body. For an answer of type text/event-stream to a request with eventStream: one event's data,
     /// without the "data: " prefix; "[DONE]" is delivered like any other.
--- a/libs/net/include/net/http_server.hpp
+++ b/libs/net/include/net/http_server.hpp
@@ -90,6 +90,18 @@
     /// Ends the stream and the exchange.
     void endStream(std::uint64_t exchange);
 
+    /// Starts an answer of any kind. @param length of the body; -1: not known, it ends with endAnswer().
+    void beginAnswer(std::uint64_t exchange, std::uint32_t status, const header_list& headers, std::int64_t length);
+
+    /// Sends a piece of the body of an answer begun with beginAnswer().
+    void answerData(std::uint64_t exchange, std::string_view data);
+
+    /// Ends such an answer and the exchange. A body shorter than its stated length ends in a closed connection.
+    void endAnswer(std::uint64_t exchange);
+
+    /// Answers from now on say "Connection: close", while new connections are still taken.
+    void announceClosing();
+
     /// Closes the connection without a proper end of the answer.
     void abort(std::uint64_t exchange);
 
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "client_connection.hpp"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -28,14 +29,52 @@
         message.version(11);
         message.method_string(request.method);
         message.target(request.target);
-        message.set(http::field::host, request.address);
+        if (!request.keepsHost) {
+            message.set(http::field::host, request.address);
+        }
         for (const auto& [name, value] : request.headers) {
             message.insert(name, value);
         }
-        message.content_length(request.body.size());
+        const bool hasBody = !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
+        if (hasBody) {
+            message.content_length(request.body.size());
+        }
         return headerText(message) + request.body;
     }
 
+    response_head headOf(http::response_parser<http::string_body>& parser)
+    {
+        response_head head;
+        head.status = parser.get().result_int();
+        for (const auto& field : parser.get()) {
+            head.headers.emplace_back(lowerCase(field.name_string()), std::string(field.value()));
+        }
+        if (const auto length = parser.content_length()) {
+            head.length = static_cast<std::int64_t>(*length);
+        }
+        return head;
+    }
+
+    /// @return the timeout of the Keep-Alive header; 0: it has none.
+    std::chrono::milliseconds statedIdleTimeout(const http::fields& fields)
+    {
+        const std::string text(fields[http::field::keep_alive]);
+        constexpr std::string_view name = "timeout=";
+        constexpr std::size_t maxDigits = 6;
+        const auto at = text.find(name);
+        if (at == std::string::npos) {
+            return std::chrono::milliseconds(0);
+        }
+        std::int64_t seconds = 0;
+        for (std::size_t i = at + name.size(); i < text.size() && i < at + name.size() + maxDigits; ++i) {
+            if (text[i] < '0' || text[i] > '9') {
+                break;
+            }
+            seconds = seconds * 10 + (text[i] - '0');
+        }
+        return std::chrono::seconds(seconds);
+    }
+
 } // namespace
 
 struct client_connection::parser_state {
@@ -155,7 +194,7 @@
             return;
         }
         if (problem) {
-            self->onEnd(problem.message());
+            self->onEnd(problem.message(), false);
             return;
         }
         self->onReadable();
@@ -172,7 +211,8 @@
         return;
     }
     if (problem) {
-        onEnd(problem == boost::asio::error::eof ? "connection closed by the server" : problem.message());
+        const bool isOrderly = problem == boost::asio::error::eof;
+        onEnd(isOrderly ? "connection closed by the server" : problem.message(), isOrderly);
         return;
     }
     onBytes({ bytes.data(), count });
@@ -184,7 +224,7 @@
 void client_connection::onBytes(std::string_view bytes)
 {
     if (!m_busy) {
-        onEnd("bytes without a request");
+        onEnd("bytes without a request", false);
         return;
     }
     m_phase = request_phase::Answering;
@@ -235,7 +275,8 @@
         if (m_request.eventStream && type.starts_with("text/event-stream")) {
             m_events.emplace(m_owner->settings().maxEventBytes);
         }
-        m_owner->onResponse(m_request.request, parser.get().result_int());
+        m_idleTimeout = statedIdleTimeout(parser.get());
+        m_owner->onResponse(m_request.request, headOf(parser));
     }
     std::string piece = std::exchange(parser.get().body(), {});
     if (m_closed || piece.empty()) {
@@ -267,7 +308,7 @@
     const std::string request = std::exchange(m_request, {}).request;
     const auto self = shared_from_this();
     if (reusable) {
-        setDeadline(owner->settings().pooledIdleTimeout, "unused");
+        setDeadline(unusedTimeout(), "unused");
     } else {
         drop();
     }
@@ -275,7 +316,7 @@
 }
 
 /// The server has closed the connection, or it broke.
-void client_connection::onEnd(const std::string& reason)
+void client_connection::onEnd(const std::string& reason, bool isOrderly)
 {
     if (!m_busy) {
         closeIdle();
@@ -283,7 +324,8 @@
     }
     auto& parser = *m_parser->parser;
     boost::system::error_code problem;
-    if (parser.is_header_done()) {
+    // A body without a stated length ends with its connection; one that broke is not known to be whole.
+    if (isOrderly && parser.is_header_done()) {
         parser.put_eof(problem);
         if (!problem && parser.is_done()) {
             finish();
@@ -293,6 +335,17 @@
     fail(reason);
 }
 
+/// @return for how long the connection may wait for its next request.
+std::chrono::milliseconds client_connection::unusedTimeout() const
+{
+    const auto own = m_owner->settings().pooledIdleTimeout;
+    if (m_idleTimeout.count() == 0) {
+        return own;
+    }
+    // A request must not cross the server's close, so the connection is given up well before.
+    return std::min(own, m_idleTimeout / 2);
+}
+
 //------------------------------------------------------------------------------------------------------------------
 // Closing
 //------------------------------------------------------------------------------------------------------------------
--- a/libs/net/src/client_connection.hpp
+++ b/libs/net/src/client_connection.hpp
@@ -23,7 +23,7 @@
 public:
     virtual ~connection_owner() = default;
     [[nodiscard]] virtual const http_client_settings& settings() const = 0;
-    virtual void onResponse(const std::string& request, std::uint32_t status) = 0;
+    virtual void onResponse(const std::string& request, response_head&& head) = 0;
     virtual void onData(const std::string& request, std::string&& data) = 0;
 
     /// @param reusable the connection may take another request.
@@ -65,7 +65,8 @@
     void read();
     void onReadable();
     void onBytes(std::string_view bytes);
-    void onEnd(const std::string& reason);
+    /// @param isOrderly the server has closed its side, rather than that the connection broke.
+    void onEnd(const std::string& reason, bool isOrderly);
     bool parse(std::string_view bytes);
     bool deliverBody();
     void finish();
@@ -74,6 +75,7 @@
     void onTimeout(const char* message);
     void setDeadline(std::chrono::milliseconds timeout, const char* message);
     void restartSilence();
+    [[nodiscard]] std::chrono::milliseconds unusedTimeout() const;
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_deadline;
@@ -85,6 +87,7 @@
     request_phase m_phase = request_phase::NotSent;
     std::string m_sending;
     std::size_t m_sent = 0;
+    std::chrono::milliseconds m_idleTimeout { 0 }; ///< that the server states for unused connections; 0: none
     bool m_connected = false;
     bool m_busy = false;
     bool m_responded = false;
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -106,9 +106,9 @@
 
     [[nodiscard]] const http_client_settings& settings() const override { return m_settings; }
 
-    void onResponse(const std::string& request, std::uint32_t status) override
+    void onResponse(const std::string& request, response_head&& head) override
     {
-        m_handlers.onResponse(request, status);
+        m_handlers.onResponse(request, std::move(head));
     }
 
     void onData(const std::string& request, std::string&& data) override
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -59,6 +59,8 @@
         }
     }
 
+    void announceClosing() { m_announcesClosing = true; }
+
     void closeListener()
     {
         m_draining = true;
@@ -88,6 +90,8 @@
 
     bool draining() const override { return m_draining; }
 
+    bool announcesClosing() const override { return m_draining || m_announcesClosing; }
+
     std::uint64_t beginExchange(std::uint64_t connection) override
     {
         const std::uint64_t exchange = (std::uint64_t { m_settings.listener } << listenerShift) | ++m_lastExchange;
@@ -139,6 +143,7 @@
     http_server_handlers m_handlers;
     http_server_counts m_counts;
     bool m_draining = false;
+    bool m_announcesClosing = false;
     bool m_stopped = false;
     std::uint64_t m_lastConnection = 0;
     std::uint64_t m_lastExchange = 0;
@@ -194,6 +199,33 @@
     }
 }
 
+void http_server::beginAnswer(
+    std::uint64_t exchange, std::uint32_t status, const header_list& headers, std::int64_t length)
+{
+    if (auto* session = m_impl->find(exchange)) {
+        session->beginAnswer(status, headers, length);
+    }
+}
+
+void http_server::answerData(std::uint64_t exchange, std::string_view data)
+{
+    if (auto* session = m_impl->find(exchange)) {
+        session->answerData(data);
+    }
+}
+
+void http_server::endAnswer(std::uint64_t exchange)
+{
+    if (auto* session = m_impl->find(exchange)) {
+        session->endAnswer();
+    }
+}
+
+void http_server::announceClosing()
+{
+    m_impl->announceClosing();
+}
+
 void http_server::abort(std::uint64_t exchange)
 {
     if (auto* session = m_impl->find(exchange)) {
--- a/libs/net/src/http_session.cpp
+++ b/libs/net/src/http_session.cpp
@@ -24,14 +24,6 @@
     constexpr std::size_t maxEarlyBytes = 64U << 10U; ///< kept of what comes while a request is answered
     constexpr std::chrono::milliseconds lingerTime { 1'000 };
 
-    std::string lowerCase(boost::beast::string_view name)
-    {
-        std::string lower(name);
-        std::transform(lower.begin(), lower.end(), lower.begin(),
-            [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
-        return lower;
-    }
-
     void setFields(http::fields& fields, const header_list& headers)
     {
         for (const auto& [name, value] : headers) {
@@ -235,7 +227,7 @@
 
 bool http_session::keepsAlive() const
 {
-    return m_parser->keepAlive && !m_closeAfterAnswer && !m_owner->draining();
+    return m_parser->keepAlive && !m_closeAfterAnswer && !m_owner->announcesClosing();
 }
 
 void http_session::reply(const http_reply& reply)
@@ -315,6 +307,57 @@
     }
 }
 
+void http_session::beginAnswer(std::uint32_t status, const header_list& headers, std::int64_t length)
+{
+    if (m_closed || m_exchange == 0 || m_streaming) {
+        return;
+    }
+    const bool hasBody = status != 204 && status != 304;
+    m_chunked = hasBody && length < 0 && m_parser->version >= 11;
+    m_bodyLeft = hasBody ? length : 0;
+    if (hasBody && length < 0 && !m_chunked) {
+        m_parser->keepAlive = false;
+    }
+    http::response<http::empty_body> response(http::status::ok, m_parser->version);
+    response.result(status);
+    setFields(response, headers);
+    if (m_chunked) {
+        response.chunked(true);
+    } else if (hasBody && length >= 0) {
+        response.content_length(static_cast<std::uint64_t>(length));
+    }
+    response.keep_alive(keepsAlive());
+    m_streaming = true;
+    queue(headerText(response));
+}
+
+void http_session::answerData(std::string_view data)
+{
+    if (m_closed || !m_streaming || m_headRequest || data.empty()) {
+        return;
+    }
+    if (m_bodyLeft >= 0) {
+        data = data.substr(0, static_cast<std::size_t>(m_bodyLeft));
+        m_bodyLeft -= static_cast<std::int64_t>(data.size());
+    }
+    if (sendBufferBytes() + data.size() > m_owner->settings().maxSendBufferBytes) {
+        ++m_owner->tally().slowReaders;
+        close("the caller reads too slowly");
+        return;
+    }
+    queueChunk(data);
+}
+
+void http_session::endAnswer()
+{
+    const bool isShort = m_bodyLeft > 0 && !m_headRequest;
+    if (m_streaming && isShort) {
+        abort();
+        return;
+    }
+    endStream();
+}
+
 void http_session::abort()
 {
     finishAnswer();
@@ -341,6 +384,7 @@
     m_chunked = true;
     m_streaming = false;
     m_headRequest = false;
+    m_bodyLeft = -1;
     m_parser->continued = false;
     auto& parser = m_parser->parser.emplace();
     parser.eager(true);
--- a/libs/net/src/http_session.hpp
+++ b/libs/net/src/http_session.hpp
@@ -21,6 +21,9 @@
     virtual http_server_counts& tally() = 0;
     [[nodiscard]] virtual bool draining() const = 0;
 
+    /// @return whether connections close after their answer.
+    [[nodiscard]] virtual bool announcesClosing() const = 0;
+
     /// @return the new exchange's id.
     virtual std::uint64_t beginExchange(std::uint64_t connection) = 0;
     virtual void deliver(http_request&& request) = 0;
@@ -52,6 +55,9 @@
     void beginStream(const header_list& headers);
     void streamEvent(std::string_view data);
     void endStream();
+    void beginAnswer(std::uint32_t status, const header_list& headers, std::int64_t length);
+    void answerData(std::string_view data);
+    void endAnswer();
     void abort();
 
     void setTag(const std::string& key) { m_tag = key; }
@@ -118,6 +124,7 @@
     bool m_closeAfterAnswer = false;
     bool m_streaming = false;
     bool m_chunked = true;
+    std::int64_t m_bodyLeft = -1; ///< bytes of the answer's body still to come; -1: its length is not stated
     bool m_headRequest = false;
 };
 
--- a/libs/net/src/http_text.hpp
+++ b/libs/net/src/http_text.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <string>
 
 #include <boost/asio/buffer.hpp>
@@ -8,6 +9,15 @@
 
 namespace cuminledge::net {
 
+/// @return a header's name as the handlers get it.
+inline std::string lowerCase(boost::beast::string_view name)
+{
+    std::string lower(name);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+        [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
+    return lower;
+}
+
 /// @return the bytes of a buffer sequence in one text.
 template <typename Buffers>
 std::string toText(const Buffers& buffers)
--- a/libs/net/src/rpc_post.cpp
+++ b/libs/net/src/rpc_post.cpp
@@ -17,7 +17,7 @@
     std::uint32_t status = 0;
     boost::asio::io_context context;
     http_client_handlers handlers;
-    handlers.onResponse = [&](const std::string&, std::uint32_t code) { status = code; };
+    handlers.onResponse = [&](const std::string&, response_head&& head) { status = head.status; };
     handlers.onData = [&](const std::string&, std::string&& data) { outcome.body += data; };
     handlers.onFinished = [&](const std::string&) {
         outcome.answered = status == 200;
--- a/libs/net/tests/test_http_client.cpp
+++ b/libs/net/tests/test_http_client.cpp
@@ -45,7 +45,7 @@
         thread.call([&] {
             client.emplace(thread.context(), settings,
                 http_client_handlers {
-                    [this](const std::string& id, std::uint32_t status) { outcomes[id].status = status; },
+                    [this](const std::string& id, response_head&& head) { outcomes[id].status = head.status; },
                     [this](const std::string& id, std::string&& data) { outcomes[id].data.push_back(std::move(data)); },
                     [this](const std::string& id) { outcomes[id].finished = true; },
                     [this](const std::string& id, request_phase phase, const std::string& message) {
--- a/libs/wire/include/wire/commands.hpp
+++ b/libs/wire/include/wire/commands.hpp
@@ -184,10 +184,67 @@
     MSGPACK_DEFINE(fingerprint, byOperator)
 };
 
+//------------------------------------------------------------------------------------------------------------------
+// Route tables (group 0)
+//------------------------------------------------------------------------------------------------------------------
+
+/// Puts a route table in force if its version is higher than that of the one held; else changes nothing.
+struct accept_routes {
+    std::uint64_t version = 0;
+    std::string table; ///< coded route_table, already validated by the leader
+    std::string document; ///< as the operator sent it, for reading back
+    MSGPACK_DEFINE(version, table, document)
+};
+
+//------------------------------------------------------------------------------------------------------------------
+// Token budgets and retained turns of forwarded requests (group of the client account)
+//------------------------------------------------------------------------------------------------------------------
+
+/// Reserves the most tokens that one turn of a program may generate. A reservation counts until it is settled.
+struct reserve_tokens {
+    std::string account;
+    std::string program;
+    std::string attempt; ///< unique; reserving again under it changes nothing
+    std::int64_t tokens = 0;
+    std::int64_t budget = 0; ///< of the whole program; the first one named holds
+    std::chrono::milliseconds retention { 0 }; ///< the budget is remembered for so long after its last use
+    MSGPACK_DEFINE(account, program, attempt, tokens, budget, retention)
+};
+
+/// Replaces a reservation by what was generated.
+struct settle_tokens {
+    std::string account;
+    std::string program;
+    std::string attempt;
+    std::int64_t used = 0;
+    MSGPACK_DEFINE(account, program, attempt, used)
+};
+
+/// Adds a turn that was answered whole, and settles its reservation where it has one.
+struct retain_turn {
+    std::string account;
+    std::string turn; ///< the attempt's id
+    std::string previous; ///< the turn that it continues; empty at the start of a chain
+    std::string text; ///< input and output, as the next turn's prompt repeats them
+    std::chrono::milliseconds retention { 0 };
+    std::string program; ///< may be empty: no budget
+    std::int64_t used = 0;
+    MSGPACK_DEFINE(account, turn, previous, text, retention, program, used)
+};
+
+/// Time has passed for the group's leader; what is past its retention is dropped. Never faster than real time, as the
+/// time between two leaders counts for nothing.
+struct advance_time {
+    std::uint32_t group = 0;
+    std::chrono::milliseconds elapsed { 0 };
+    MSGPACK_DEFINE(group, elapsed)
+};
+
 /// Alternatives are only ever appended: log records hold their numbers.
 using command = std::variant<open_program, begin_turn, commit_turn, abandon_turn, end_program, record_call,
     dispatch_call, settle_call, reserve_rate, accept_manifest, issue_key, withdraw_key, drain_backend,
-    register_orderer, report_crash, clear_fingerprint>;
+    register_orderer, report_crash, clear_fingerprint, accept_routes, reserve_tokens, settle_tokens, retain_turn,
+    advance_time>;
 
 //------------------------------------------------------------------------------------------------------------------
 // Reads, served by a leader that holds its lease
@@ -218,7 +275,15 @@
     MSGPACK_DEFINE(programs)
 };
 
-using query = std::variant<read_program, read_history, read_call, read_ended_programs>;
+/// The chain of turns that ends at `turn`, as far back as the asker does not hold it.
+struct read_chain {
+    std::string account;
+    std::string turn;
+    std::vector<std::string> held; ///< turns whose chains the asker holds whole
+    MSGPACK_DEFINE(account, turn, held)
+};
+
+using query = std::variant<read_program, read_history, read_call, read_ended_programs, read_chain>;
 
 //------------------------------------------------------------------------------------------------------------------
 // Results
@@ -314,8 +379,28 @@
     MSGPACK_DEFINE(number)
 };
 
+struct token_reservation {
+    bool isGranted = false; ///< else the budget does not hold the tokens
+    std::int64_t budget = 0;
+    std::int64_t used = 0;
+    std::int64_t reserved = 0; ///< of turns that are not settled, this one included
+    MSGPACK_DEFINE(isGranted, budget, used, reserved)
+};
+
+struct chain_link {
+    std::string turn;
+    std::string previous;
+    std::string text;
+    MSGPACK_DEFINE(turn, previous, text)
+};
+
+struct turn_chain {
+    std::vector<chain_link> links; ///< newest first; empty where the turn is unknown
+    MSGPACK_DEFINE(links)
+};
+
 using command_result = std::variant<acknowledged, refused, program_status, turn_begun, history, call_status,
-    program_list, fencing_number>;
+    program_list, fencing_number, token_reservation, turn_chain>;
 
 } // namespace cuminledge::wire
 
--- a/libs/wire/include/wire/control_messages.hpp
+++ b/libs/wire/include/wire/control_messages.hpp
@@ -42,7 +42,9 @@
     std::uint64_t membershipEpoch = 0; ///< names the leader's run; versions of another run do not compare
     std::uint64_t membershipVersion = 0;
     std::uint64_t quarantineRevision = 0;
-    MSGPACK_DEFINE(request, manifestNumber, keyRevision, membershipEpoch, membershipVersion, quarantineRevision)
+    std::uint64_t routesVersion = 0;
+    MSGPACK_DEFINE(request, manifestNumber, keyRevision, membershipEpoch, membershipVersion, quarantineRevision,
+        routesVersion)
 };
 
 struct key_record {
@@ -59,7 +61,7 @@
     Service
 };
 
-/// A backend server as its sidecar announces it.
+/// A backend server as its sidecar announces it, or as it announces itself where it has none.
 struct backend_record {
     std::string backend; ///< id, unique in the fleet
     std::uint64_t incarnation = 0; ///< of its sidecar; a later start has a higher number
@@ -72,9 +74,11 @@
     std::int64_t cacheTokens = 0;
     bool draining = false;
     bool withdrawn = false; ///< in an update: gone
-    std::string sidecar; ///< name of the sidecar's process, as in its hello
+    std::string sidecar; ///< name of the sidecar's process, as in its hello; empty: it announces itself
+    std::string address; ///< "IP:PORT" of the server itself, where it has no sidecar
+    std::string service; ///< where it has no sidecar
     MSGPACK_DEFINE(backend, incarnation, sidecarAddress, region, failureDomain, kind, models, batchLimit, cacheTokens,
-        draining, withdrawn, sidecar)
+        draining, withdrawn, sidecar, address, service)
 };
 
 struct quarantine_record {
@@ -104,9 +108,11 @@
     bool quarantineComplete = false;
     std::uint64_t quarantineRevision = 0;
     std::vector<quarantine_record> quarantine;
+    std::uint64_t routesVersion = 0;
+    std::string routes; ///< coded route_table, only where the gateway's version differs
     MSGPACK_DEFINE(request, notLeader, leader, lease, groupCount, manifestNumber, manifest, keysComplete, keyRevision,
         keys, membershipComplete, membershipEpoch, membershipVersion, backends, quarantineComplete, quarantineRevision,
-        quarantine)
+        quarantine, routesVersion, routes)
 };
 
 //------------------------------------------------------------------------------------------------------------------
--- a/tools/cuminledgectl/src/process_dump.cpp
+++ b/tools/cuminledgectl/src/process_dump.cpp
@@ -16,7 +16,7 @@
     std::uint32_t status = 0;
     std::optional<result<std::string>> outcome;
     net::http_client_handlers handlers;
-    handlers.onResponse = [&](const std::string&, std::uint32_t received) { status = received; };
+    handlers.onResponse = [&](const std::string&, net::response_head&& head) { status = head.status; };
     handlers.onData = [&](const std::string&, std::string&& data) { body += data; };
     handlers.onFinished = [&](const std::string&) { outcome = std::move(body); };
     handlers.onFailed = [&](const std::string&, net::request_phase, const std::string& message) {
--- a/tools/load/load_generator.cpp
+++ b/tools/load/load_generator.cpp
@@ -96,9 +96,9 @@
 void load_generator::impl::makeHttpClient()
 {
     net::http_client_handlers handlers;
-    handlers.onResponse = [this](const std::string& request, std::uint32_t status) {
+    handlers.onResponse = [this](const std::string& request, net::response_head&& head) {
         if (auto* self = find(request)) {
-            self->status = status;
+            self->status = head.status;
         }
     };
     handlers.onData = [this](const std::string& request, std::string&& data) { onData(request, data); };
