Find dead servers by unacknowledged bytes; stay up on SIGHUP; test what forwards requests

Cause: silence of a server's machine was only seen at a request's deadline; a suspended machine's steady clock stood still while leases on it ran out; SIGHUP ended a process; a full disk left a controller up without a part in anything.

--- a/libs/base/include/base/clock.hpp
+++ b/libs/base/include/base/clock.hpp
@@ -20,7 +20,7 @@
     [[nodiscard]] virtual time_point now() const = 0;
 };
 
-/// The machine's monotonic clock.
+/// The machine's monotonic clock, which counts the time that the machine is suspended.
 class monotonic_clock final : public clock_source {
 public:
     [[nodiscard]] time_point now() const override;
--- a/libs/core/include/core/forward/forward_call.hpp
+++ b/libs/core/include/core/forward/forward_call.hpp
@@ -52,6 +52,7 @@
     std::uint64_t chainRequest = 0;
     std::uint64_t retainRequest = 0;
     std::string chain; ///< text of the earlier turns
+    bool isChainRead = false; ///< from its group, as it was not held here
 
     std::string service; ///< chosen by the route's weights
     std::string server; ///< where it runs; empty: nowhere
--- a/libs/core/src/controller/controller_settings.cpp
+++ b/libs/core/src/controller/controller_settings.cpp
@@ -57,6 +57,7 @@
         = reader.milliseconds("announce_lease_ms", milliseconds(200), milliseconds(60'000), settings.announceLease);
     settings.turnTimeout
         = reader.milliseconds("turn_timeout_ms", milliseconds(1'000), std::chrono::hours(24), settings.turnTimeout);
+    settings.exitsOnStorageFailure = reader.boolean("exit_on_storage_failure", settings.exitsOnStorageFailure);
     settings.shutdownLimit
         = reader.milliseconds("shutdown_limit_ms", milliseconds(0), milliseconds(60'000), settings.shutdownLimit);
     return settings;
--- a/libs/core/src/controller/groups.cpp
+++ b/libs/core/src/controller/groups.cpp
@@ -256,6 +256,9 @@
         consensus::onStorageFailed(group->replica, failed, output);
         carryOut(r, *group, std::move(output));
     }
+    if (r.state.settings.exitsOnStorageFailure) {
+        r.out.emplace_back(stop_process { 1 });
+    }
 }
 
 void tickGroups(reduction& r)
--- a/libs/core/src/controller/rates.cpp
+++ b/libs/core/src/controller/rates.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <fmt/format.h>
+
 #include <core/consensus/consensus.hpp>
 #include <core/group.hpp>
 
@@ -66,6 +68,14 @@
             continue;
         }
         known.insert(account);
+        const auto held = group.authority.accounts.find(account);
+        const bool isChanged = held == group.authority.accounts.end() || held->second.ledger.bucket.limit.ratePerSecond != limit.ratePerSecond
+            || held->second.ledger.bucket.limit.burst != limit.burst;
+        if (isChanged) {
+            log(r, log_level::Info, "rate_limit_set",
+                { { "account", account }, { "rate_per_second", fmt::format("{:g}", limit.ratePerSecond) },
+                    { "burst", fmt::format("{:g}", limit.burst) } });
+        }
         limits::setAccountLimit(group.authority, account, limit, r.now);
     }
     std::vector<std::string> gone;
--- a/libs/core/src/forward/answers.cpp
+++ b/libs/core/src/forward/answers.cpp
@@ -78,7 +78,9 @@
     c.out.emplace_back(record_metric { "forward_seconds", static_cast<double>(age(c, subject).count()) / 1000, true });
     logCall(c, log_level::Info, "request_answered", subject,
         { { "status", std::to_string(subject.answer.status) }, { "server", subject.server },
-            { "sends", std::to_string(subject.sends) }, { "events", std::to_string(subject.answer.eventCount) } });
+            { "sends", std::to_string(subject.sends) }, { "events", std::to_string(subject.answer.eventCount) },
+            { "chain_bytes", std::to_string(subject.chain.size()) },
+            { "chain_from", subject.isChainRead ? "group" : "cache" } });
     if (subject.hasCaller) {
         c.out.emplace_back(end_answer { subject.exchange });
     }
--- a/libs/core/src/forward/turns.cpp
+++ b/libs/core/src/forward/turns.cpp
@@ -47,6 +47,7 @@
     void readChain(context& c, forward_call& subject, const std::string& missing)
     {
         ++c.state.counters.chainsRead;
+        subject.isChainRead = true;
         wire::read_chain query { subject.account, missing, {} };
         subject.chainRequest = controller_client::send(c.state.controllers, groupOf(c, subject), wire::query(query),
             "read_chain", c.now, timeoutOf(c, subject), c.out);
--- /dev/null
+++ b/libs/core/tests/forward_gateway.hpp
@@ -0,0 +1,176 @@
+#pragma once
+
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <core/forward/forwarder.hpp>
+
+/// A forwarding gateway without sockets: events go in, effects are kept by kind.
+namespace cuminledge::core::forward {
+
+constexpr exchange_id firstExchange = 100;
+
+struct forward_gateway {
+    forwarder_state state;
+    manual_clock clock;
+    std::mt19937_64 random { 7 };
+    effects out;
+    wire::route_table table;
+    exchange_id nextExchange = firstExchange;
+
+    forward_gateway()
+    {
+        state.identity.name = "g1";
+        state.identity.failureDomain = "a";
+        state.settings.controllers = { { "c1", "127.0.0.1:1" } };
+        give(process_started { 1, 1 });
+        give(peer_connected { "c1", "controller", 1 });
+        table = makeTable();
+    }
+
+    static wire::route_rule makeRoute(const std::string& prefix, const std::string& service)
+    {
+        wire::route_rule route;
+        route.name = prefix;
+        route.host = "h";
+        route.pathPrefix = prefix;
+        route.timeout = std::chrono::milliseconds(3'000);
+        route.retention = std::chrono::milliseconds(60'000);
+        route.maxAttempts = 2;
+        route.services = { { service, 1 } };
+        return route;
+    }
+
+    static wire::route_table makeTable()
+    {
+        wire::route_table table;
+        table.version = 1;
+        auto chat = makeRoute("/chat/", "engines");
+        chat.isStream = true;
+        chat.retainsTurns = true;
+        auto draft = makeRoute("/draft/", "engines");
+        draft.isStream = true;
+        draft.isResumable = true;
+        auto status = makeRoute("/status/", "shop");
+        status.isIdempotent = true;
+        table.routes = { chat, draft, status, makeRoute("/pay/", "shop") };
+        table.services = { { "engines", 100, 16, 400'000, 10 }, { "shop", 100, 0, 0, 0 } };
+        table.accounts = { { "alice", { "key-a" }, 0, 0, 0 }, { "bob", { "key-b" }, 0, 0, 0 } };
+        return table;
+    }
+
+    static wire::backend_record makeServer(const std::string& id, const std::string& service)
+    {
+        wire::backend_record record;
+        record.backend = id;
+        record.incarnation = 1;
+        record.service = service;
+        record.address = id + ":80";
+        record.failureDomain = "a";
+        return record;
+    }
+
+    void give(const event& e) { reduceForwarder(state, e, clock.now(), random, out); }
+
+    void pass(std::chrono::milliseconds time)
+    {
+        clock.advance(time);
+        give(tick {});
+    }
+
+    /// The configuration comes, with servers e1 and e2 of "engines", and s1 and s2 of "shop".
+    void configure()
+    {
+        pass(state.settings.configPollInterval);
+        wire::config_update update;
+        update.request = state.configuration.poll.request;
+        update.routesVersion = table.version;
+        update.routes = wire::encodeStruct(table);
+        update.membershipComplete = true;
+        update.membershipEpoch = 1;
+        update.membershipVersion = 1;
+        update.backends = { makeServer("e1", "engines"), makeServer("e2", "engines"), makeServer("s1", "shop"),
+            makeServer("s2", "shop") };
+        give(peer_message { "c1", 1, update });
+        out.clear();
+    }
+
+    forward_request makeRequest(const std::string& target)
+    {
+        forward_request request;
+        request.exchange = nextExchange++;
+        request.attempt = "a" + std::to_string(request.exchange);
+        request.method = "POST";
+        request.target = target;
+        request.host = "h";
+        request.body = "in" + std::to_string(request.exchange);
+        request.key = "key-a";
+        request.timeLeft = std::chrono::milliseconds(3'000);
+        return request;
+    }
+
+    /// @return the newest effect of the kind, taken out of those kept.
+    template <typename Effect>
+    std::optional<Effect> take()
+    {
+        for (auto it = out.rbegin(); it != out.rend(); ++it) {
+            if (auto* found = std::get_if<Effect>(&*it)) {
+                auto taken = *found;
+                out.erase(std::next(it).base());
+                return taken;
+            }
+        }
+        return std::nullopt;
+    }
+
+    /// @return the newest command or query sent to the controllers and not answered yet.
+    std::optional<wire::controller_request> takeControllerRequest()
+    {
+        for (auto it = out.rbegin(); it != out.rend(); ++it) {
+            auto* sent = std::get_if<send_message>(&*it);
+            if (sent == nullptr) {
+                continue;
+            }
+            if (const auto* request = std::get_if<wire::controller_request>(&sent->body)) {
+                auto taken = *request;
+                out.erase(std::next(it).base());
+                return taken;
+            }
+        }
+        return std::nullopt;
+    }
+
+    void answer(const wire::controller_request& request, const wire::command_result& outcome)
+    {
+        wire::controller_response response;
+        response.request = request.request;
+        response.group = request.group;
+        response.body = wire::encodeVariant(outcome);
+        give(peer_message { "c1", 1, response });
+    }
+
+    static upstream_head makeHead(const forward_upstream& sent, std::uint32_t status = 200)
+    {
+        upstream_head head;
+        head.request = sent.request;
+        head.status = status;
+        head.attempt = sent.attempt;
+        head.isSigned = true;
+        return head;
+    }
+
+    /// The server answers a stream with these events, and ends it.
+    void stream(const forward_upstream& sent, const std::vector<std::string>& events)
+    {
+        give(makeHead(sent));
+        for (const auto& bytes : events) {
+            give(upstream_data { sent.request, bytes });
+        }
+        give(upstream_finished { sent.request });
+    }
+};
+
+} // namespace cuminledge::core::forward
--- /dev/null
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -0,0 +1,238 @@
+#include <catch2/catch.hpp>
+
+#include "forward_gateway.hpp"
+
+using namespace cuminledge;
+using namespace cuminledge::core;
+using namespace cuminledge::core::forward;
+
+TEST_CASE("A forwarding gateway that knows no configuration says that nothing has run", "[forward]")
+{
+    forward_gateway g;
+    g.give(g.makeRequest("/pay/1"));
+    const auto refusal = g.take<refuse_caller>();
+    REQUIRE(refusal);
+    CHECK(refusal->code == error_code::Unavailable);
+    CHECK_FALSE(refusal->mayHaveRun);
+    CHECK(g.state.calls.empty());
+}
+
+TEST_CASE("A request goes to a server of its route with its account and what is left of its time", "[forward]")
+{
+    forward_gateway g;
+    g.configure();
+    auto request = g.makeRequest("/pay/1?x=2");
+    g.give(request);
+    const auto sent = g.take<forward_upstream>();
+    REQUIRE(sent);
+    CHECK(sent->target == "/pay/1?x=2");
+    CHECK(sent->account == "alice");
+    CHECK(sent->attempt == request.attempt);
+    CHECK(sent->timeLeft == std::chrono::milliseconds(3'000));
+    CHECK(sent->backend.front() == 's');
+
+    g.give(forward_gateway::makeHead(*sent, 201));
+    g.give(upstream_data { sent->request, "done" });
+    CHECK_FALSE(g.take<answer_data>()); // held back until it is whole
+    g.give(upstream_finished { sent->request });
+    const auto begun = g.take<begin_answer>();
+    REQUIRE(begun);
+    CHECK(begun->status == 201);
+    CHECK(begun->length == 4);
+    CHECK(g.take<answer_data>()->data == "done");
+    CHECK(g.take<end_answer>());
+    CHECK(g.state.calls.empty());
+    CHECK(g.state.expiries.empty());
+}
+
+TEST_CASE("Unknown routes and keys are refused", "[forward]")
+{
+    forward_gateway g;
+    g.configure();
+    g.give(g.makeRequest("/nowhere/"));
+    CHECK(g.take<refuse_caller>()->code == error_code::NotFound);
+    auto request = g.makeRequest("/pay/1");
+    request.key = "stolen";
+    g.give(request);
+    CHECK(g.take<refuse_caller>()->code == error_code::Unauthenticated);
+    CHECK_FALSE(g.take<forward_upstream>());
+}
+
+TEST_CASE("The longest prefix of the path selects the route", "[forward]")
+{
+    forward_gateway g;
+    g.table.routes.push_back(forward_gateway::makeRoute("/status/deep/", "engines"));
+    g.table.routes.back().isPublic = true;
+    g.configure();
+    auto request = g.makeRequest("/status/deep/1");
+    request.key.clear();
+    g.give(request);
+    const auto sent = g.take<forward_upstream>();
+    REQUIRE(sent);
+    CHECK(sent->backend.front() == 'e');
+    CHECK(sent->account.empty());
+}
+
+TEST_CASE("A request that may not be repeated is sent again only where it is proved not to have run", "[forward]")
+{
+    forward_gateway g;
+    g.configure();
+    g.give(g.makeRequest("/pay/1"));
+    const auto first = g.take<forward_upstream>();
+    REQUIRE(first);
+    auto head = forward_gateway::makeHead(*first, 503);
+    head.notRun = true;
+    g.give(head);
+    const auto second = g.take<forward_upstream>();
+    REQUIRE(second);
+    CHECK(second->backend != first->backend);
+
+    SECTION("a connection that never came about is such a proof")
+    {
+        g.give(upstream_failed { second->request, upstream_phase::NotSent, "refused" });
+        const auto refusal = g.take<refuse_caller>(); // both servers have had it
+        REQUIRE(refusal);
+        CHECK_FALSE(refusal->mayHaveRun);
+    }
+    SECTION("a request that was sent and not answered may have run")
+    {
+        g.give(upstream_failed { second->request, upstream_phase::Sent, "reset" });
+        CHECK_FALSE(g.take<forward_upstream>());
+        const auto refusal = g.take<refuse_caller>();
+        REQUIRE(refusal);
+        CHECK(refusal->mayHaveRun);
+    }
+    SECTION("an answer to another request proves nothing")
+    {
+        auto foreign = forward_gateway::makeHead(*second, 200);
+        foreign.attempt = "other";
+        g.give(foreign);
+        CHECK_FALSE(g.take<forward_upstream>());
+        CHECK(g.take<refuse_caller>()->mayHaveRun);
+    }
+}
+
+TEST_CASE("An idempotent request runs on no more servers than its route allows", "[forward]")
+{
+    forward_gateway g;
+    g.configure();
+    g.give(g.makeRequest("/status/1"));
+    const auto first = g.take<forward_upstream>();
+    REQUIRE(first);
+    g.give(forward_gateway::makeHead(*first, 500));
+    const auto second = g.take<forward_upstream>();
+    REQUIRE(second);
+    CHECK(second->backend != first->backend);
+    g.give(upstream_failed { second->request, upstream_phase::Answering, "reset" });
+    CHECK_FALSE(g.take<forward_upstream>());
+    CHECK(g.take<refuse_caller>()->mayHaveRun);
+}
+
+TEST_CASE("A stream goes on at another server behind its last whole event", "[forward]")
+{
+    forward_gateway g;
+    g.configure();
+    g.give(g.makeRequest("/draft/1"));
+    const auto first = g.take<forward_upstream>();
+    REQUIRE(first);
+    g.give(forward_gateway::makeHead(*first));
+    g.give(upstream_data { first->request, "id: 1\ndata: one\n\nid: 2\nda" });
+    CHECK(g.take<begin_answer>());
+    CHECK(g.take<answer_data>()->data == "id: 1\ndata: one\n\n");
+    g.give(upstream_failed { first->request, upstream_phase::Answering, "reset" });
+    const auto second = g.take<forward_upstream>();
+    REQUIRE(second);
+    CHECK(second->lastEvent == "1");
+    g.stream(*second, { "id: 2\ndata: two\n\n" });
+    CHECK_FALSE(g.take<begin_answer>());
+    CHECK(g.take<answer_data>()->data == "id: 2\ndata: two\n\n");
+    CHECK(g.take<end_answer>());
+}
+
+TEST_CASE("A stream that may not be resumed is broken off, not ended", "[forward]")
+{
+    forward_gateway g;
+    g.configure();
+    g.give(g.makeRequest("/chat/1"));
+    const auto sent = g.take<forward_upstream>();
+    REQUIRE(sent);
+    g.give(forward_gateway::makeHead(*sent));
+    g.give(upstream_data { sent->request, "id: 1\ndata: one\n\nid: 2" });
+    SECTION("on a broken connection") { g.give(upstream_failed { sent->request, upstream_phase::Answering, "reset" }); }
+    SECTION("on an end within an event") { g.give(upstream_finished { sent->request }); }
+    CHECK(g.take<abort_exchange>());
+    CHECK_FALSE(g.take<end_answer>());
+}
+
+TEST_CASE("A caller that leaves stops the work for it, unless the work may not be repeated", "[forward]")
+{
+    forward_gateway g;
+    g.configure();
+    g.give(g.makeRequest("/draft/1"));
+    const auto stream = g.take<forward_upstream>();
+    g.give(caller_gone { firstExchange });
+    CHECK(g.take<cancel_upstream>()->request == stream->request);
+    CHECK(g.state.calls.empty());
+
+    g.give(g.makeRequest("/pay/1"));
+    const auto payment = g.take<forward_upstream>();
+    g.give(caller_gone { firstExchange + 1 });
+    CHECK_FALSE(g.take<cancel_upstream>());
+    g.give(forward_gateway::makeHead(*payment));
+    g.give(upstream_finished { payment->request });
+    CHECK(g.state.calls.empty());
+}
+
+TEST_CASE("A request whose time is over ends with what is known of it", "[forward]")
+{
+    forward_gateway g;
+    g.configure();
+    auto request = g.makeRequest("/pay/1");
+    request.timeLeft = std::chrono::milliseconds(500);
+    g.give(request);
+    g.pass(std::chrono::milliseconds(500));
+    CHECK(g.take<cancel_upstream>());
+    const auto refusal = g.take<refuse_caller>();
+    REQUIRE(refusal);
+    CHECK(refusal->code == error_code::Timeout);
+    CHECK(refusal->mayHaveRun);
+    CHECK(g.state.calls.empty());
+}
+
+TEST_CASE("A draining or withdrawn server gets no new request", "[forward]")
+{
+    forward_gateway g;
+    g.configure();
+    auto draining = forward_gateway::makeServer("s1", "shop");
+    draining.draining = true;
+    auto gone = forward_gateway::makeServer("s2", "shop");
+    gone.withdrawn = true;
+    applyMembership(g.state.servers, { draining, gone }, false);
+    g.give(g.makeRequest("/pay/1"));
+    CHECK_FALSE(g.take<forward_upstream>());
+    const auto refusal = g.take<refuse_caller>();
+    REQUIRE(refusal);
+    CHECK_FALSE(refusal->mayHaveRun);
+    CHECK(refusal->retryAfter.count() > 0);
+}
+
+TEST_CASE("A gateway that shuts down serves what comes meanwhile, and ends when nothing is left", "[forward]")
+{
+    forward_gateway g;
+    g.configure();
+    g.give(shutdown_requested {});
+    CHECK_FALSE(g.take<set_ready>()->ready);
+    CHECK(g.take<announce_closing>());
+    g.give(g.makeRequest("/pay/1"));
+    const auto sent = g.take<forward_upstream>();
+    REQUIRE(sent);
+    g.pass(g.state.settings.shutdownDelay);
+    CHECK(g.take<close_listeners>());
+    g.pass(std::chrono::milliseconds(1'500));
+    CHECK_FALSE(g.take<stop_process>());
+    g.give(forward_gateway::makeHead(*sent));
+    g.give(upstream_finished { sent->request });
+    CHECK(g.take<end_answer>());
+    g.pass(std::chrono::milliseconds(100));
+    CHECK(g.take<stop_process>());
+}
--- /dev/null
+++ b/libs/core/tests/test_store_turns.cpp
@@ -0,0 +1,105 @@
+#include <catch2/catch.hpp>
+
+#include <core/store/shard_state.hpp>
+
+using namespace cuminledge;
+using namespace cuminledge::core::store;
+using std::chrono::milliseconds;
+
+namespace {
+
+wire::token_reservation reserve(shard_state& state, const std::string& attempt, std::int64_t tokens)
+{
+    const auto outcome
+        = applyCommand(state, wire::reserve_tokens { "alice", "p", attempt, tokens, 100, milliseconds(60'000) });
+    REQUIRE(std::holds_alternative<wire::token_reservation>(outcome));
+    return std::get<wire::token_reservation>(outcome);
+}
+
+void settle(shard_state& state, const std::string& attempt, std::int64_t used)
+{
+    applyCommand(state, wire::settle_tokens { "alice", "p", attempt, used });
+}
+
+void retain(shard_state& state, const std::string& turn, const std::string& previous, milliseconds retention)
+{
+    applyCommand(state, wire::retain_turn { "alice", turn, previous, turn + ";", retention, "", 0 });
+}
+
+std::vector<std::string> chainOf(const shard_state& state, const std::string& account, const std::string& turn,
+    std::vector<std::string> held = {})
+{
+    const auto outcome = query(state, wire::read_chain { account, turn, std::move(held) });
+    std::vector<std::string> turns;
+    for (const auto& link : std::get<wire::turn_chain>(outcome).links) {
+        turns.push_back(link.turn);
+    }
+    return turns;
+}
+
+} // namespace
+
+TEST_CASE("Reservations and use never exceed a program's budget", "[store]")
+{
+    shard_state state;
+    CHECK(reserve(state, "a1", 60).isGranted);
+    CHECK_FALSE(reserve(state, "a2", 60).isGranted);
+    settle(state, "a1", 30);
+    CHECK(reserve(state, "a2", 60).isGranted);
+    CHECK_FALSE(reserve(state, "a3", 20).isGranted);
+    settle(state, "a2", 60);
+    CHECK(reserve(state, "a3", 10).isGranted);
+}
+
+TEST_CASE("A resent reservation or settlement changes nothing", "[store]")
+{
+    shard_state state;
+    CHECK(reserve(state, "a1", 60).reserved == 60);
+    CHECK(reserve(state, "a1", 60).reserved == 60);
+    settle(state, "a1", 30);
+    settle(state, "a1", 30);
+    const auto late = reserve(state, "a1", 60);
+    CHECK(late.reserved == 0);
+    CHECK(late.used == 30);
+}
+
+TEST_CASE("A chain is read back to what the asker holds, for its own account only", "[store]")
+{
+    shard_state state;
+    retain(state, "t1", "", milliseconds(60'000));
+    retain(state, "t2", "t1", milliseconds(60'000));
+    retain(state, "t3", "t2", milliseconds(60'000));
+    CHECK(chainOf(state, "alice", "t3") == std::vector<std::string> { "t3", "t2", "t1" });
+    CHECK(chainOf(state, "alice", "t3", { "t1" }) == std::vector<std::string> { "t3", "t2" });
+    CHECK(chainOf(state, "bob", "t3").empty());
+    CHECK(chainOf(state, "alice", "t4").empty());
+}
+
+TEST_CASE("A turn is kept for its retention, together with its chain", "[store]")
+{
+    shard_state state;
+    retain(state, "t1", "", milliseconds(10'000));
+    applyCommand(state, wire::advance_time { 1, milliseconds(9'000) });
+    retain(state, "t2", "t1", milliseconds(10'000));
+    applyCommand(state, wire::advance_time { 1, milliseconds(10'000) });
+    CHECK(chainOf(state, "alice", "t2") == std::vector<std::string> { "t2", "t1" });
+    applyCommand(state, wire::advance_time { 1, 2 * clockInterval });
+    CHECK(chainOf(state, "alice", "t2").empty());
+    CHECK(state.turns.empty());
+}
+
+TEST_CASE("Budgets, turns and the clock outlive a snapshot", "[store]")
+{
+    shard_state state;
+    reserve(state, "a1", 60);
+    settle(state, "a1", 10);
+    reserve(state, "a2", 20);
+    retain(state, "t1", "", milliseconds(10'000));
+    applyCommand(state, wire::advance_time { 1, milliseconds(1'234) });
+    auto restored = decodeShardSnapshot(encodeSnapshot(state));
+    REQUIRE(restored);
+    CHECK(encodeSnapshot(*restored) == encodeSnapshot(state));
+    CHECK(restored->clock == milliseconds(1'234));
+    CHECK(reserve(*restored, "a3", 80).isGranted == false);
+    CHECK(chainOf(*restored, "alice", "t1").size() == 1);
+}
--- a/libs/host/include/host/settings.hpp
+++ b/libs/host/include/host/settings.hpp
@@ -37,10 +37,12 @@
     std::string operatorAddress; ///< controller: operators' JSON-RPC
     std::string controlAddress; ///< controller of a deployment with route tables: backend servers and operators
     std::string readinessPath = "/readyz"; ///< on the admin listener
+    std::chrono::milliseconds connectTimeout { 2'000 }; ///< to a backend server
     std::chrono::milliseconds tickInterval { 10 }; ///< how often deadlines are looked at
     std::string dataFolder; ///< controller: log and snapshots
     std::size_t maxBodyBytes = 4U << 20U; ///< of a caller's request
     std::uint32_t maxConnections = 10000; ///< of callers
+    std::string settingsFile; ///< where the settings were read
     std::string traceFile; ///< records every event; empty: none
 };
 
--- a/libs/host/src/process.cpp
+++ b/libs/host/src/process.cpp
@@ -188,6 +188,7 @@
     void drainEvents();
     void scheduleTick();
     void waitForSignal();
+    void checkSettings();
     [[nodiscard]] std::string addHostState(const std::string& body) const;
 
     process_settings m_settings;
@@ -202,6 +203,7 @@
     std::deque<core::event> m_events;
     bool m_draining = false;
     bool m_signalled = false;
+    bool m_waitsForSignals = false;
     int m_exitCode = 0;
     std::ofstream m_trace;
     std::unique_ptr<net::peer_transport> m_transport;
@@ -249,7 +251,9 @@
     handlers.onFailed = [this](const std::string& request, net::request_phase phase, const std::string& message) {
         happen(core::upstream_failed { request, toCore(phase), message });
     };
-    m_client = std::make_unique<net::http_client>(m_context, net::http_client_settings {}, std::move(handlers));
+    net::http_client_settings settings;
+    settings.connectTimeout = m_settings.connectTimeout;
+    m_client = std::make_unique<net::http_client>(m_context, settings, std::move(handlers));
 }
 
 void process::impl::makeCallers()
@@ -455,20 +459,39 @@
 
 void process::impl::waitForSignal()
 {
-    if (!m_signalled) {
+    if (!m_signalled && !m_waitsForSignals) {
+        m_waitsForSignals = true;
         m_signals.add(SIGTERM);
         m_signals.add(SIGINT);
+        m_signals.add(SIGHUP);
     }
     m_signals.async_wait([this](const boost::system::error_code& failed, int number) {
         if (failed) {
             return;
         }
         logEvent(log_level::Info, "signal", { { "number", std::to_string(number) } });
+        if (number == SIGHUP) {
+            checkSettings();
+            waitForSignal();
+            return;
+        }
         happen(core::shutdown_requested { std::exchange(m_signalled, true) });
         waitForSignal();
     });
 }
 
+/// The settings file has changed. What it says holds from the next start on; a fault is told now, while the process
+/// still runs with the settings it has.
+void process::impl::checkSettings()
+{
+    const auto changed = loadSettings(m_settings.settingsFile, m_settings.role);
+    if (!changed) {
+        logEvent(log_level::Error, "reload_failed", { { "message", changed.error().message } });
+        return;
+    }
+    logEvent(log_level::Info, "reload_checked", { { "file", m_settings.settingsFile } });
+}
+
 //------------------------------------------------------------------------------------------------------------------
 // Effects
 //------------------------------------------------------------------------------------------------------------------
--- a/libs/host/src/settings.cpp
+++ b/libs/host/src/settings.cpp
@@ -90,6 +90,8 @@
         settings.peerAddress = readAddress(reader, "peer_address");
         settings.adminAddress = readAddress(reader, "admin_address");
         settings.readinessPath = reader.string("readiness_path", 1, maxPathBytes, settings.readinessPath);
+        settings.connectTimeout = reader.milliseconds("connect_timeout_ms", std::chrono::milliseconds(10),
+            std::chrono::milliseconds(60'000), settings.connectTimeout);
         settings.tickInterval = reader.milliseconds(
             "tick_ms", std::chrono::milliseconds(1), std::chrono::milliseconds(1'000), settings.tickInterval);
         settings.traceFile = reader.string("trace_file", 1, maxPathBytes, "");
@@ -182,7 +184,11 @@
     if (!document) {
         return failure(document.error().code, file + ": " + document.error().message, "read_settings");
     }
-    return readSettings(*document, file, role);
+    auto loaded = readSettings(*document, file, role);
+    if (loaded) {
+        loaded->process.settingsFile = file;
+    }
+    return loaded;
 }
 
 } // namespace cuminledge::host
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -14,6 +14,7 @@
 #include <net/address.hpp>
 
 #include "http_text.hpp"
+#include "socket_options.hpp"
 
 namespace cuminledge::net {
 
@@ -149,6 +150,7 @@
         self->m_connected = true;
         boost::system::error_code ignored;
         self->m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        detectDeadPeer(self->m_socket);
         self->m_socket.non_blocking(true, ignored);
         self->restartSilence();
         self->sendRequest();
