Refuse nobody on a limit that is not known yet; make the registry of servers durable

Cause: after a restart of every controller the leader of a data group had an account's reservations before the route table was applied there, took its rate as 0 and refused for an hour, which gateways remembered; and a new leader knew no servers until each had announced itself again, while gateways reported ready. Ruled out: tokens outstanding under the earlier leader (they run out after 5 s; refusals lasted 17 s).

--- a/libs/core/include/core/limits/rate_limit.hpp
+++ b/libs/core/include/core/limits/rate_limit.hpp
@@ -26,6 +26,7 @@
     std::chrono::milliseconds requestTimeout { 200 }; ///< an unanswered request is given up and sent anew
     std::chrono::milliseconds idleReturn { 500 }; ///< a gateway gives back tokens it has not used for so long
     std::chrono::milliseconds leaseAhead { 500 }; ///< demand that a gateway wants to hold tokens for
+    std::chrono::milliseconds maxRefusalMemory { 500 }; ///< a gateway refuses so long by itself after a refusal
     std::size_t maxWaitingPerAccount = 4'096; ///< calls that one gateway holds for an answer
 };
 
--- a/libs/core/include/core/store/control_state.hpp
+++ b/libs/core/include/core/store/control_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -32,6 +33,10 @@
 constexpr std::size_t maxClearedFingerprints = 10'000;
 /// A fingerprint under which so many backend servers died is quarantined.
 constexpr std::uint32_t quarantineDeaths = 2;
+/// Servers that have left remembered, so that a late announcement of one does not count.
+constexpr std::size_t maxDepartedServers = 2'000;
+/// Servers that announce themselves, at most.
+constexpr std::size_t maxServers = 20'000;
 constexpr std::size_t maxIdBytes = 256;
 
 struct accepted_manifest {
@@ -74,6 +79,8 @@
     std::uint64_t routesVersion = 0; ///< 0: no route table accepted yet
     std::string routes; ///< coded wire::route_table
     std::string routesDocument; ///< as the operator sent it
+    std::map<std::string, wire::backend_record> servers; ///< that announce themselves; `withdrawn`: it has left
+    std::deque<std::string> departed; ///< of those that have left, oldest first
 };
 
 /// Applies one command, in log order. Applying it again gives the same truth and changes nothing.
--- a/libs/core/src/controller/control_calls.cpp
+++ b/libs/core/src/controller/control_calls.cpp
@@ -23,6 +23,8 @@
     {
         reply_to_control reply;
         reply.exchange = exchange;
+        // Later announcements come straight here, rather than by a redirection each time.
+        reply.leader = findController(r.state.settings, r.self.name)->operatorAddress;
         r.out.emplace_back(std::move(reply));
     }
 
@@ -78,11 +80,6 @@
         return;
     }
     takeServer(r, announcement);
-    reply_to_control reply;
-    reply.exchange = announcement.exchange;
-    // Later announcements come straight here, rather than by a redirection each time.
-    reply.leader = findController(r.state.settings, r.self.name)->operatorAddress;
-    r.out.emplace_back(std::move(reply));
 }
 
 void receiveDeparture(reduction& r, const server_departure& departure)
@@ -90,8 +87,7 @@
     if (servingGroup(r, departure.exchange) == nullptr) {
         return;
     }
-    withdrawServer(r, departure.backend, departure.incarnation);
-    done(r, departure.exchange);
+    withdrawServer(r, departure);
 }
 
 void submitRoutes(reduction& r, const routes_submission& submission)
--- a/libs/core/src/controller/duties.cpp
+++ b/libs/core/src/controller/duties.cpp
@@ -53,6 +53,10 @@
                     { "in_force", std::to_string(r.state.control.routesVersion) } });
             return;
         }
+        if (const auto* server = std::get_if<wire::note_server>(&command)) {
+            noteServer(r, *server);
+            return;
+        }
         if (const auto* accepted = std::get_if<wire::accept_manifest>(&command)) {
             refreshManifest(r);
             log(r, log_level::Info, "manifest_accepted",
--- a/libs/core/src/controller/internal.hpp
+++ b/libs/core/src/controller/internal.hpp
@@ -116,8 +116,11 @@
 
 /// Takes a valid announcement of a server without a sidecar; a late or doubled one changes nothing.
 void takeServer(reduction& r, const server_announcement& announcement);
-/// @param incarnation of the server that leaves; a later one stays. 0: whichever is there.
-void withdrawServer(reduction& r, const std::string& backend, std::uint64_t incarnation);
+
+/// A change of what is known of a server is committed.
+void noteServer(reduction& r, const wire::note_server& change);
+/// A server leaves; a later incarnation of it stays.
+void withdrawServer(reduction& r, const server_departure& departure);
 
 Json::Value describeGroups(const controller_state& state, time_point now);
 Json::Value describeBackend(const wire::backend_record& record);
--- a/libs/core/src/controller/membership.cpp
+++ b/libs/core/src/controller/membership.cpp
@@ -107,6 +107,16 @@
         entry.leaseEnd = r.now + r.state.settings.announceLease;
     }
 
+    void proposeServer(reduction& r, const wire::note_server& change, proposal_origin origin)
+    {
+        auto* group = findGroup(r.state, systemGroup);
+        const auto proposed = propose(r, *group, change, origin);
+        const auto* control = std::get_if<control_origin>(&origin);
+        if (!proposed && control != nullptr) {
+            redirectControl(r, control->exchange);
+        }
+    }
+
     /// @return whether the announcement is older than what is known of the server.
     bool isOutdated(const announced_backend& known, const server_announcement& announcement)
     {
@@ -133,7 +143,9 @@
         }
         for (const auto& id : replaced) {
             log(r, log_level::Info, "backend_replaced", { { "backend", id }, { "by", record.backend } });
-            withdraw(r, id);
+            auto gone = r.state.members.backends.at(id).record;
+            gone.withdrawn = true;
+            proposeServer(r, { gone, true }, own_origin {});
         }
         return true;
     }
@@ -152,12 +164,28 @@
 
 } // namespace
 
+namespace {
+
+    /// Servers that announce themselves are known to every leader; each has one lease to announce itself again.
+    void takeOverServers(reduction& r)
+    {
+        for (const auto& [id, record] : r.state.control.servers) {
+            putRecord(r, record);
+            auto& entry = r.state.members.backends.at(id);
+            entry.isLeaving = record.withdrawn;
+            entry.leaseEnd = r.now + r.state.settings.announceLease;
+        }
+    }
+
+} // namespace
+
 void startMembership(reduction& r, std::uint64_t epoch)
 {
     r.state.members = {};
     r.state.members.epoch = epoch;
     // A sidecar needs up to a lease to notice that the old leader is gone, and again to find the new one.
     r.state.members.completeAt = r.now + 2 * r.state.settings.announceLease;
+    takeOverServers(r);
 }
 
 void stopMembership(reduction& r)
@@ -200,49 +228,62 @@
 {
     ++r.state.counters.announcements;
     auto& members = r.state.members;
-    if (members.backends.size() >= maxBackends) {
-        forgetOldestWithdrawn(members);
-    }
     auto record = announcement.backend;
     const auto known = members.backends.find(record.backend);
     const bool isNew = known == members.backends.end();
     if (!isNew && isOutdated(known->second, announcement)) {
+        answerControl(r, { announcement.exchange }, wire::acknowledged {});
         return;
     }
     if (!takeOverAddress(r, record)) {
+        answerControl(r, { announcement.exchange }, wire::acknowledged {});
         return;
     }
     const bool isSameStart = !isNew && known->second.record.incarnation == record.incarnation;
     const bool hasLeft = isSameStart && known->second.isLeaving;
     const bool wasDraining = isSameStart && known->second.record.draining;
-    record.withdrawn = announcement.isLeaving || hasLeft;
+    record.withdrawn = hasLeft;
     record.draining = record.draining || wasDraining || r.state.control.drains.contains(record.backend);
-    if (isNew || !isSameStart || record.draining != wasDraining) {
-        log(r, log_level::Info, "backend_announced",
-            { { "backend", record.backend }, { "address", record.address }, { "service", record.service },
-                { "domain", record.failureDomain }, { "draining", record.draining ? "yes" : "no" },
-                { "incarnation", std::to_string(record.incarnation) } });
+    if (!isNew && isSame(known->second.record, record)) {
+        known->second.sequence = announcement.sequence;
+        known->second.leaseEnd = r.now + r.state.settings.announceLease;
+        answerControl(r, { announcement.exchange }, wire::acknowledged {});
+        return;
     }
-    const auto id = record.backend;
-    putRecord(r, std::move(record));
-    auto& entry = members.backends.at(id);
-    entry.isLeaving = announcement.isLeaving || hasLeft;
-    entry.sequence = announcement.sequence;
-    entry.leaseEnd = r.now + r.state.settings.announceLease;
+    proposeServer(r, { record, false }, control_origin { announcement.exchange });
 }
 
-void withdrawServer(reduction& r, const std::string& backend, std::uint64_t incarnation)
+void withdrawServer(reduction& r, const server_departure& departure)
 {
-    const auto known = r.state.members.backends.find(backend);
-    if (known == r.state.members.backends.end() || known->second.record.withdrawn) {
+    const auto known = r.state.members.backends.find(departure.backend);
+    const bool isGone = known == r.state.members.backends.end() || known->second.isLeaving;
+    const bool isOlder = !isGone && departure.incarnation != 0 && departure.incarnation < known->second.record.incarnation;
+    if (isGone || isOlder) {
+        answerControl(r, { departure.exchange }, wire::acknowledged {});
         return;
     }
-    if (incarnation != 0 && incarnation < known->second.record.incarnation) {
-        return;
+    auto record = known->second.record;
+    record.withdrawn = true;
+    proposeServer(r, { record, true }, control_origin { departure.exchange });
+}
+
+void noteServer(reduction& r, const wire::note_server& change)
+{
+    if (r.state.members.epoch == 0) {
+        return; // not the leader
+    }
+    const auto& record = change.server;
+    log(r, log_level::Info, record.withdrawn ? "backend_withdrawn" : "backend_announced",
+        { { "backend", record.backend }, { "address", record.address }, { "service", record.service },
+            { "domain", record.failureDomain }, { "draining", record.draining ? "yes" : "no" },
+            { "leaving", change.isLeaving ? "yes" : "no" }, { "incarnation", std::to_string(record.incarnation) } });
+    if (r.state.members.backends.size() >= maxBackends) {
+        forgetOldestWithdrawn(r.state.members);
     }
-    log(r, log_level::Info, "backend_withdrawn", { { "backend", backend } });
-    known->second.isLeaving = true;
-    withdraw(r, backend);
+    putRecord(r, record);
+    auto& entry = r.state.members.backends.at(record.backend);
+    entry.isLeaving = change.isLeaving;
+    entry.leaseEnd = r.now + r.state.settings.announceLease;
 }
 
 void noteDrain(reduction& r, const std::string& backend)
@@ -260,13 +301,22 @@
 
 void lapseAnnouncements(reduction& r)
 {
+    std::vector<std::string> lapsed;
     for (const auto& [id, backend] : r.state.members.backends) {
         if (backend.record.withdrawn || r.now < backend.leaseEnd) {
             continue;
         }
         ++r.state.counters.lapses;
         log(r, log_level::Warning, "announcement_lapsed", { { "backend", id } });
+        lapsed.push_back(id);
+    }
+    for (const auto& id : lapsed) {
+        auto record = r.state.members.backends.at(id).record;
         withdraw(r, id);
+        if (record.sidecar.empty()) {
+            record.withdrawn = true;
+            proposeServer(r, { record, false }, own_origin {});
+        }
     }
 }
 
--- a/libs/core/src/controller/rates.cpp
+++ b/libs/core/src/controller/rates.cpp
@@ -92,7 +92,8 @@
 void receiveRateRequest(reduction& r, const std::string& peer, const wire::rate_lease_request& request)
 {
     auto* group = findGroup(r.state, request.group);
-    if (group == nullptr || request.group == systemGroup || !group->isServing) {
+    const bool isConfigured = r.state.manifest || r.state.routes;
+    if (group == nullptr || request.group == systemGroup || !group->isServing || !isConfigured) {
         ++r.state.counters.redirected;
         wire::rate_lease_grant grant;
         grant.request = request.request;
--- a/libs/core/src/controller/requests.cpp
+++ b/libs/core/src/controller/requests.cpp
@@ -27,7 +27,7 @@
         return !std::holds_alternative<wire::accept_manifest>(command) && !std::holds_alternative<wire::issue_key>(command)
             && !std::holds_alternative<wire::withdraw_key>(command) && !std::holds_alternative<wire::drain_backend>(command)
             && !std::holds_alternative<wire::reserve_rate>(command) && !std::holds_alternative<wire::accept_routes>(command)
-            && !std::holds_alternative<wire::advance_time>(command);
+            && !std::holds_alternative<wire::advance_time>(command) && !std::holds_alternative<wire::note_server>(command);
     }
 
     void answerQuery(reduction& r, const hosted_group& group, const peer_origin& origin, const std::string& body)
--- a/libs/core/src/forward/lifecycle.cpp
+++ b/libs/core/src/forward/lifecycle.cpp
@@ -21,12 +21,12 @@
 void updateReadiness(context& c)
 {
     const bool isRunning = c.state.shutdown == shutdown_phase::Running;
-    const bool isReady = isRunning && c.state.configuration.table.version != 0;
+    const bool isReady = isRunning && c.state.configuration.table.version != 0 && !c.state.servers.servers.empty();
     if (isReady == c.state.isReady) {
         return;
     }
     c.state.isReady = isReady;
-    const char* reason = isRunning ? "no configuration is known yet" : "shutting down";
+    const char* reason = isRunning ? "no configuration or no server is known yet" : "shutting down";
     c.out.emplace_back(write_log { log_level::Info, "readiness", { { "ready", isReady ? "yes" : "no" } } });
     c.out.emplace_back(set_ready { isReady, isReady ? "" : reason });
 }
--- a/libs/core/src/limits/lease_holder.cpp
+++ b/libs/core/src/limits/lease_holder.cpp
@@ -346,7 +346,8 @@
     const auto asked = lease.waitingAsked;
     auto outcome = admitWaiting(holder, lease, now);
     if (grant.retryAfter.count() > 0) {
-        lease.refusedUntil = now + grant.retryAfter;
+        // The limit may be raised meanwhile, so a refusal is not believed for longer.
+        lease.refusedUntil = now + std::min(grant.retryAfter, holder.settings.maxRefusalMemory);
         outcome.retryAfter = grant.retryAfter;
         outcome.refused = std::clamp<std::int64_t>(asked - outcome.admitted, 0, lease.waiting);
         lease.waiting -= outcome.refused;
--- a/libs/core/src/limits/rate_authority.cpp
+++ b/libs/core/src/limits/rate_authority.cpp
@@ -460,6 +460,11 @@
         return;
     }
     auto& account = found->second;
+    if (!account.limitKnown) {
+        // The configuration has not been applied here yet: the gateway asks again, and nobody is refused meanwhile.
+        ++authority.counters.stale;
+        return;
+    }
     advanceAccount(authority, account, now);
     const bool namesOtherEpoch = request.epoch != 0 && request.epoch != authority.term;
     const bool isOrphan = request.lease != 0 && !namesOtherEpoch && account.sessions.count(gateway) == 0;
--- a/libs/core/src/store/control_state.cpp
+++ b/libs/core/src/store/control_state.cpp
@@ -275,6 +275,44 @@
         return wire::acknowledged { state.routesVersion };
     }
 
+    void forgetDeparted(control_state& state)
+    {
+        while (state.departed.size() > maxDepartedServers) {
+            const auto known = state.servers.find(state.departed.front());
+            if (known != state.servers.end() && known->second.withdrawn) {
+                state.servers.erase(known);
+            }
+            state.departed.pop_front();
+        }
+    }
+
+    wire::command_result applyCommand(control_state& state, const wire::note_server& command)
+    {
+        const std::string step = "note_server";
+        const auto& server = command.server;
+        if (!isId(server.backend)) {
+            return refuse(error_code::InvalidArgument, "the backend server's id is empty or too long", step);
+        }
+        const auto known = state.servers.find(server.backend);
+        const bool isKnown = known != state.servers.end();
+        if (isKnown && known->second.incarnation > server.incarnation) {
+            return refuse(error_code::Conflict, "a later incarnation holds this id", step);
+        }
+        if (server.withdrawn && !command.isLeaving) {
+            state.servers.erase(server.backend);
+            return wire::acknowledged {};
+        }
+        if (!isKnown && state.servers.size() >= maxServers) {
+            return refuse(error_code::Overloaded, fmt::format("{} backend servers are announced", maxServers), step);
+        }
+        state.servers[server.backend] = server;
+        if (server.withdrawn) {
+            state.departed.push_back(server.backend);
+            forgetDeparted(state);
+        }
+        return wire::acknowledged {};
+    }
+
     /// Every other command belongs to one of the groups 1..N.
     template <typename Command>
     wire::command_result applyCommand(control_state& /*state*/, const Command& /*command*/)
--- a/libs/core/src/store/snapshot.cpp
+++ b/libs/core/src/store/snapshot.cpp
@@ -114,7 +114,13 @@
         MSGPACK_DEFINE(version, table, document)
     };
 
-    using control_record = std::variant<control_header, key_entry, crash_entry, drain_entry, orderer, routes_entry>;
+    struct departed_entry {
+        std::string server;
+        MSGPACK_DEFINE(server)
+    };
+
+    using control_record = std::variant<control_header, key_entry, crash_entry, drain_entry, orderer, routes_entry,
+        wire::backend_record, departed_entry>;
 
     void restore(change_index& index, const std::string& id, std::uint64_t revision)
     {
@@ -166,6 +172,19 @@
         return {};
     }
 
+    result<void> restore(control_state& state, wire::backend_record server)
+    {
+        const auto id = server.backend;
+        state.servers[id] = std::move(server);
+        return {};
+    }
+
+    result<void> restore(control_state& state, departed_entry entry)
+    {
+        state.departed.push_back(std::move(entry.server));
+        return {};
+    }
+
     result<void> restore(control_state& state, routes_entry entry)
     {
         state.routesVersion = entry.version;
@@ -299,6 +318,12 @@
     for (const auto& [backend, entry] : state.orderers) {
         appendRecord(bytes, control_record(entry));
     }
+    for (const auto& [id, server] : state.servers) {
+        appendRecord(bytes, control_record(server));
+    }
+    for (const auto& server : state.departed) {
+        appendRecord(bytes, control_record(departed_entry { server }));
+    }
     if (state.routesVersion != 0) {
         appendRecord(bytes, control_record(routes_entry { state.routesVersion, state.routes, state.routesDocument }));
     }
--- a/libs/core/tests/controller_cluster.hpp
+++ b/libs/core/tests/controller_cluster.hpp
@@ -68,6 +68,7 @@
     /// Messages to processes that the test plays, and not read yet.
     std::vector<sent_message> inbox;
     std::map<core::exchange_id, core::reply_to_operator> operatorReplies;
+    std::map<core::exchange_id, core::reply_to_control> controlReplies;
     /// @return whether the message is lost. May be set by the test.
     std::function<bool(const sent_message&)> isLost = [](const sent_message&) { return false; };
 
@@ -181,6 +182,24 @@
             : core::reply_to_operator { exchange, false, error_code::Timeout, R"({"code": "no_reply"})" };
     }
 
+    /// Gives a control call its exchange and waits for the reply. @return Unavailable if none came in 3 s.
+    template <typename Call>
+    core::reply_to_control control(const std::string& controller, Call call)
+    {
+        call.exchange = m_nextExchange++;
+        happen(controller, call);
+        for (int i = 0; i < 300 && !controlReplies.contains(call.exchange); ++i) {
+            deliver();
+            if (!controlReplies.contains(call.exchange)) {
+                advance(std::chrono::milliseconds(10));
+            }
+        }
+        const auto reply = controlReplies.find(call.exchange);
+        return reply != controlReplies.end()
+            ? reply->second
+            : core::reply_to_control { call.exchange, core::control_outcome::Unavailable, "", "", "", "no reply" };
+    }
+
     core::exchange_id startCall(const std::string& controller, const std::string& method, const Json::Value& parameters)
     {
         const auto exchange = m_nextExchange++;
@@ -245,6 +264,8 @@
             m_queue.push_back({ name, message->peer, std::move(message->body) });
         } else if (auto* reply = std::get_if<core::reply_to_operator>(&effect)) {
             operatorReplies[reply->exchange] = *reply;
+        } else if (auto* answer = std::get_if<core::reply_to_control>(&effect)) {
+            controlReplies[answer->exchange] = *answer;
         } else if (auto* write = std::get_if<core::persist_log>(&effect)) {
             persist(m_controllers.at(name).disks[write->group].held, *write);
             happen(name, core::log_persisted { write->group, write->ticket });
--- a/libs/wire/include/wire/commands.hpp
+++ b/libs/wire/include/wire/commands.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <wire/codec.hpp>
+#include <wire/control_messages.hpp>
 
 /// Commands on the replicated state, the reads of it, and their results. A command's effect is decided when it is
 /// applied, in log order, by the same code on every replica; so a command carries all it needs, randomness included.
@@ -196,6 +197,13 @@
     MSGPACK_DEFINE(version, table, document)
 };
 
+/// What is known of a backend server that announces itself has changed: it has come, drains, leaves or is silent.
+struct note_server {
+    wire::backend_record server; ///< `withdrawn`: it is gone
+    bool isLeaving = false; ///< it said so itself, so this incarnation does not come back
+    MSGPACK_DEFINE(server, isLeaving)
+};
+
 //------------------------------------------------------------------------------------------------------------------
 // Token budgets and retained turns of forwarded requests (group of the client account)
 //------------------------------------------------------------------------------------------------------------------
@@ -244,7 +252,7 @@
 using command = std::variant<open_program, begin_turn, commit_turn, abandon_turn, end_program, record_call,
     dispatch_call, settle_call, reserve_rate, accept_manifest, issue_key, withdraw_key, drain_backend,
     register_orderer, report_crash, clear_fingerprint, accept_routes, reserve_tokens, settle_tokens, retain_turn,
-    advance_time>;
+    advance_time, note_server>;
 
 //------------------------------------------------------------------------------------------------------------------
 // Reads, served by a leader that holds its lease
