Give an account's last tokens to programs under way; turn new ones away at once

Cause: an account over its rate was refused call by call, so its programs failed in their middle, having spent tokens. Change: while the authority refuses, a first turn is refused at once and a request of a program under way waits for up to 600 ms.

--- a/libs/core/include/core/forward/forward_call.hpp
+++ b/libs/core/include/core/forward/forward_call.hpp
@@ -46,6 +46,7 @@
     time_point arrived {};
     time_point expiresAt {}; ///< the caller's or the route's limit, whichever comes first
     bool expiryIsCallers = false;
+    time_point rateRetryAt {}; ///< asks for a token again then, if it is listed in forwarder_state::rateRetries
 
     bool hasReservation = false; ///< of tokens; to be settled
     std::uint64_t reserveRequest = 0; ///< under way at the controllers; 0: none
--- a/libs/core/include/core/forward/forwarder.hpp
+++ b/libs/core/include/core/forward/forwarder.hpp
@@ -15,6 +15,7 @@
 #include <core/event.hpp>
 #include <core/forward/forward_call.hpp>
 #include <core/forward/forwarder_settings.hpp>
+#include <core/forward/program_memory.hpp>
 #include <core/forward/server_table.hpp>
 #include <core/forward/turn_cache.hpp>
 #include <core/identity.hpp>
@@ -49,6 +50,8 @@
 struct forwarder_counters {
     std::uint64_t requests = 0;
     std::uint64_t refused = 0;
+    std::uint64_t programsTurnedAway = 0; ///< first turns refused as their account's rate was used up
+    std::uint64_t rateRetries = 0; ///< requests of programs under way that waited for their account's rate
     std::uint64_t answered = 0;
     std::uint64_t broken = 0; ///< answers that ended early
     std::uint64_t callersGone = 0;
@@ -76,6 +79,8 @@
     std::unordered_map<std::string, exchange_id> callOfUpstream;
     std::unordered_map<std::uint64_t, exchange_id> callOfRequest; ///< by request to the controllers
     std::map<std::string, std::deque<exchange_id>> rateQueues; ///< by account
+    std::set<std::pair<time_point, exchange_id>> rateRetries; ///< calls that ask for a token again then
+    program_memory programs;
     std::uint64_t nextUpstream = 1;
     shutdown_phase shutdown = shutdown_phase::Running;
     time_point shutdownStepAt {};
--- a/libs/core/include/core/forward/forwarder_settings.hpp
+++ b/libs/core/include/core/forward/forwarder_settings.hpp
@@ -16,6 +16,7 @@
     std::chrono::milliseconds configPollInterval { 300 };
     std::chrono::milliseconds controllerTimeout { 1'500 }; ///< a budget or a turn's chain is waited for so long
     std::chrono::milliseconds settleTimeout { 10'000 }; ///< a settlement is resent for so long
+    std::chrono::milliseconds ratePatience { 600 }; ///< a request of a program under way waits so long for its account's rate
     std::chrono::milliseconds retryAdvice { 250 }; ///< told to callers that are refused for want of a server
     std::chrono::milliseconds shutdownDelay { 2'500 }; ///< SIGTERM: still taking connections, so that the balancer notices
     std::chrono::milliseconds shutdownLimit { 4'500 }; ///< then, for the requests under way
--- a/libs/core/include/core/limits/lease_holder.hpp
+++ b/libs/core/include/core/limits/lease_holder.hpp
@@ -40,6 +40,7 @@
     std::int64_t unacknowledged = 0; ///< of the spends, sent with the pending request
     std::int64_t waiting = 0; ///< calls that wait for a token
     time_point refusedUntil {};
+    time_point shortUntil {}; ///< the rate is taken as used up until then, though single tokens come in
     time_point lastSpend {};
     double demandPerSecond = 0;
     time_point demandUpdated {};
@@ -91,6 +92,9 @@
 /// Spends one token for a call of the account, or says what becomes of the call.
 spend_outcome trySpend(lease_holder& holder, const std::string& account, time_point now);
 
+/// @return whether the authority has lately refused calls of the account: its rate is used up.
+bool isShort(const lease_holder& holder, const std::string& account, time_point now);
+
 /// A call that waits has gone (caller left, deadline passed). Call for the newest or any other: they are alike.
 void cancelWaiting(lease_holder& holder, const std::string& account);
 
--- a/libs/core/include/core/limits/rate_limit.hpp
+++ b/libs/core/include/core/limits/rate_limit.hpp
@@ -27,6 +27,7 @@
     std::chrono::milliseconds idleReturn { 500 }; ///< a gateway gives back tokens it has not used for so long
     std::chrono::milliseconds leaseAhead { 500 }; ///< demand that a gateway wants to hold tokens for
     std::chrono::milliseconds maxRefusalMemory { 500 }; ///< a gateway refuses so long by itself after a refusal
+    std::chrono::milliseconds shortageMemory { 700 }; ///< after a refusal the account's rate is taken as used up so long
     std::size_t maxWaitingPerAccount = 4'096; ///< calls that one gateway holds for an answer
 };
 
--- a/libs/core/src/forward/dump.cpp
+++ b/libs/core/src/forward/dump.cpp
@@ -48,6 +48,8 @@
         Json::Value value(Json::objectValue);
         value["requests"] = Json::UInt64(counters.requests);
         value["refused"] = Json::UInt64(counters.refused);
+        value["programs_turned_away"] = Json::UInt64(counters.programsTurnedAway);
+        value["rate_retries"] = Json::UInt64(counters.rateRetries);
         value["answered"] = Json::UInt64(counters.answered);
         value["broken"] = Json::UInt64(counters.broken);
         value["callers_gone"] = Json::UInt64(counters.callersGone);
--- a/libs/core/src/forward/forwarder.cpp
+++ b/libs/core/src/forward/forwarder.cpp
@@ -53,6 +53,7 @@
         }
         pollConfiguration(c);
         expireCalls(c);
+        retryRate(c);
         continueShutdown(c);
     }
 
--- a/libs/core/src/forward/forwarder_settings.cpp
+++ b/libs/core/src/forward/forwarder_settings.cpp
@@ -14,6 +14,7 @@
     span("config_poll_interval_ms", milliseconds(50), settings.configPollInterval);
     span("controller_timeout_ms", milliseconds(100), settings.controllerTimeout);
     span("settle_timeout_ms", milliseconds(100), settings.settleTimeout);
+    span("rate_patience_ms", milliseconds(0), settings.ratePatience);
     span("retry_advice_ms", milliseconds(1), settings.retryAdvice);
     span("shutdown_delay_ms", milliseconds(0), settings.shutdownDelay);
     span("shutdown_limit_ms", milliseconds(100), settings.shutdownLimit);
--- a/libs/core/src/forward/rate.cpp
+++ b/libs/core/src/forward/rate.cpp
@@ -11,6 +11,18 @@
 
 namespace {
 
+    /// How soon a call without a token asks again.
+    constexpr std::chrono::milliseconds minRetryPause { 20 };
+    constexpr std::chrono::milliseconds maxRetryPause { 100 };
+
+    /// A call that neither continues a turn nor belongs to a program known here starts a new program.
+    bool startsProgram(const context& c, const forward_call& subject)
+    {
+        const auto& place = subject.request.place;
+        const bool isFirst = subject.route.isStream && place.previousTurn.empty();
+        return place.program.empty() || (isFirst && !isUnderWay(c.state.programs, place.program, c.now));
+    }
+
     void refuse(context& c, forward_call& subject, std::chrono::milliseconds retryAfter)
     {
         failCall(c, subject,
@@ -18,6 +30,27 @@
                 std::max(retryAfter, std::chrono::milliseconds(1)) });
     }
 
+    /// The authority has no token for the call: one of a program under way waits for a while, any other is refused.
+    void waitOrRefuse(context& c, forward_call& subject, std::chrono::milliseconds retryAfter)
+    {
+        const auto pause = std::clamp(retryAfter, minRetryPause, maxRetryPause);
+        const auto patience = std::min<duration>(c.state.settings.ratePatience, (subject.expiresAt - subject.arrived) / 3);
+        if (startsProgram(c, subject) || c.now + pause > subject.arrived + patience) {
+            refuse(c, subject, retryAfter);
+            return;
+        }
+        ++c.state.counters.rateRetries;
+        subject.step = call_step::Rate;
+        subject.rateRetryAt = c.now + pause;
+        c.state.rateRetries.insert({ subject.rateRetryAt, subject.exchange });
+    }
+
+    void admitted(context& c, forward_call& subject)
+    {
+        noteAdmitted(c.state.programs, subject.request.place.program, c.now);
+        prepare(c, subject);
+    }
+
     void send(context& c, const std::vector<wire::rate_lease_request>& requests)
     {
         for (auto request : requests) {
@@ -48,24 +81,41 @@
 
 void requestRate(context& c, forward_call& subject)
 {
+    if (limits::isShort(c.state.rate, subject.account, c.now) && startsProgram(c, subject)) {
+        ++c.state.counters.programsTurnedAway;
+        refuse(c, subject, c.state.rate.settings.shortageMemory);
+        return;
+    }
     const auto spent = limits::trySpend(c.state.rate, subject.account, c.now);
     switch (spent.decision) {
     case limits::spend_decision::Admitted:
-        prepare(c, subject);
+        admitted(c, subject);
         return;
     case limits::spend_decision::Waiting:
         subject.step = call_step::Rate;
         c.state.rateQueues[subject.account].push_back(subject.exchange);
         return;
     case limits::spend_decision::Refused:
+        waitOrRefuse(c, subject, spent.retryAfter);
+        return;
     case limits::spend_decision::Overloaded:
         refuse(c, subject, spent.retryAfter);
         return;
     }
 }
 
+void retryRate(context& c)
+{
+    while (!c.state.rateRetries.empty() && c.state.rateRetries.begin()->first <= c.now) {
+        const auto exchange = c.state.rateRetries.begin()->second;
+        c.state.rateRetries.erase(c.state.rateRetries.begin());
+        requestRate(c, c.state.calls.at(exchange));
+    }
+}
+
 void leaveRateQueue(context& c, forward_call& subject)
 {
+    c.state.rateRetries.erase({ subject.rateRetryAt, subject.exchange });
     const auto queue = c.state.rateQueues.find(subject.account);
     if (queue == c.state.rateQueues.end()) {
         return;
@@ -98,12 +148,12 @@
     const auto outcome = limits::onRateGrant(c.state.rate, grant, c.now);
     for (std::int64_t i = 0; i < outcome.admitted; ++i) {
         if (auto* subject = takeWaiting(c, grant.account)) {
-            prepare(c, *subject);
+            admitted(c, *subject);
         }
     }
     for (std::int64_t i = 0; i < outcome.refused; ++i) {
         if (auto* subject = takeWaiting(c, grant.account)) {
-            refuse(c, *subject, outcome.retryAfter);
+            waitOrRefuse(c, *subject, outcome.retryAfter);
         }
     }
 }
--- a/libs/core/src/forward/rate.hpp
+++ b/libs/core/src/forward/rate.hpp
@@ -8,6 +8,9 @@
 /// Spends a token of the call's account; then goes on, waits for one, or refuses.
 void requestRate(context& c, forward_call& subject);
 
+/// Asks again for the calls whose time to do so has come.
+void retryRate(context& c);
+
 /// The call no longer waits for a token.
 void leaveRateQueue(context& c, forward_call& subject);
 
--- a/libs/core/src/limits/lease_holder.cpp
+++ b/libs/core/src/limits/lease_holder.cpp
@@ -283,6 +283,12 @@
     return { spend_decision::Waiting, {} };
 }
 
+bool isShort(const lease_holder& holder, const std::string& account, time_point now)
+{
+    const auto found = holder.leases.find(account);
+    return found != holder.leases.end() && found->second.shortUntil > now;
+}
+
 void cancelWaiting(lease_holder& holder, const std::string& account)
 {
     const auto found = holder.leases.find(account);
@@ -313,7 +319,7 @@
         auto& lease = position->second;
         considerRequest(holder, position->first, lease, now, requests);
         const bool isOver = lease.session == 0 && lease.carried == 0 && lease.waiting == 0 && !lease.needsAttention
-            && lease.refusedUntil <= now && isIdle(holder, lease, now);
+            && lease.refusedUntil <= now && lease.shortUntil <= now && isIdle(holder, lease, now);
         position = isOver ? holder.leases.erase(position) : std::next(position);
     }
     return requests;
@@ -348,6 +354,7 @@
     if (grant.retryAfter.count() > 0) {
         // The limit may be raised meanwhile, so a refusal is not believed for longer.
         lease.refusedUntil = now + std::min(grant.retryAfter, holder.settings.maxRefusalMemory);
+        lease.shortUntil = now + holder.settings.shortageMemory;
         outcome.retryAfter = grant.retryAfter;
         outcome.refused = std::clamp<std::int64_t>(asked - outcome.admitted, 0, lease.waiting);
         lease.waiting -= outcome.refused;
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -236,3 +236,63 @@
     g.pass(std::chrono::milliseconds(100));
     CHECK(g.take<stop_process>());
 }
+
+namespace {
+
+/// The authority grants the account's waiting calls nothing.
+void refuseTokens(forward_gateway& g)
+{
+    std::optional<wire::rate_lease_request> asked;
+    for (const auto& effect : g.out) {
+        const auto* sent = std::get_if<send_message>(&effect);
+        const auto* request = sent == nullptr ? nullptr : std::get_if<wire::rate_lease_request>(&sent->body);
+        if (request != nullptr) {
+            asked = *request;
+        }
+    }
+    REQUIRE(asked);
+    wire::rate_lease_grant grant;
+    grant.request = asked->request;
+    grant.account = asked->account;
+    grant.session = asked->session;
+    grant.epoch = 1;
+    grant.lease = 1;
+    grant.retryAfter = std::chrono::milliseconds(50);
+    g.out.clear();
+    g.give(peer_message { "c1", 1, grant });
+}
+
+} // namespace
+
+TEST_CASE("Where an account's rate is used up, new programs are turned away and those under way wait", "[forward]")
+{
+    // Pattern: an account sends more than its rate; calls refused one by one would end every program in its middle.
+    forward_gateway g;
+    g.table.accounts[0].ratePerSecond = 10;
+    g.table.accounts[0].burst = 10;
+    g.configure();
+    noteAdmitted(g.state.programs, "old", g.clock.now());
+    auto tool = g.makeRequest("/status/1");
+    tool.place.program = "old";
+    g.give(tool);
+    refuseTokens(g);
+    CHECK_FALSE(g.take<refuse_caller>()); // waits for the next token
+
+    auto turn = g.makeRequest("/draft/1");
+    turn.place.program = "new";
+    g.give(turn);
+    const auto refusal = g.take<refuse_caller>();
+    REQUIRE(refusal);
+    CHECK(refusal->code == error_code::RateLimited);
+    CHECK(refusal->retryAfter.count() > 0);
+
+    auto second = g.makeRequest("/draft/1");
+    second.place.program = "old";
+    g.give(second);
+    CHECK_FALSE(g.take<refuse_caller>());
+
+    for (int i = 0; i < 70 && !g.state.calls.empty(); ++i) {
+        g.pass(std::chrono::milliseconds(10));
+    }
+    CHECK(g.state.rateRetries.size() <= g.state.calls.size());
+}
