Write logs without waiting for standard output; keep a controller's place when its seeds change; one queue for rates

Cause: each line was a blocking write to standard error; a controller whose settings name other seeds at its next start would have become a standby beside its own disk; a server's failure during a resumed stream was read as events; waiting calls and requests for rate tokens stood twice.

--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -1,6 +1,13 @@
 #include <base/log.hpp>
 
+#include <algorithm>
+#include <memory>
+
+#include <poll.h>
+#include <unistd.h>
+
 #include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -8,6 +15,61 @@
 
 namespace {
 
+    /// Keeps lines until they are asked for, and writes only what standard output takes at once.
+    class buffer_sink final : public spdlog::sinks::base_sink<std::mutex> {
+    public:
+        void writeSome()
+        {
+            const std::lock_guard lock(mutex_);
+            while (m_written < m_lines.size() && isWritable()) {
+                // A pipe that is writable takes so many bytes without blocking (pipe(7)).
+                constexpr std::size_t maxWriteBytes = 4096;
+                const auto size = std::min(m_lines.size() - m_written, maxWriteBytes);
+                const auto count = ::write(STDOUT_FILENO, m_lines.data() + m_written, size);
+                if (count <= 0) {
+                    break;
+                }
+                m_written += static_cast<std::size_t>(count);
+            }
+            m_lines.erase(0, m_written);
+            m_written = 0;
+        }
+
+    protected:
+        void sink_it_(const spdlog::details::log_msg& message) override
+        {
+            spdlog::memory_buf_t line;
+            formatter_->format(message, line);
+            if (m_lines.size() + line.size() > maxBufferedLogBytes) {
+                ++m_dropped;
+                return;
+            }
+            if (m_dropped > 0) {
+                m_lines += "event=log_lines_dropped count=" + std::to_string(std::exchange(m_dropped, 0)) + "\n";
+            }
+            m_lines.append(line.data(), line.size());
+        }
+
+        void flush_() override { }
+
+    private:
+        static bool isWritable()
+        {
+            pollfd output { STDOUT_FILENO, POLLOUT, 0 };
+            return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+        }
+
+        std::string m_lines;
+        std::size_t m_written = 0;
+        std::uint64_t m_dropped = 0;
+    };
+
+    std::shared_ptr<buffer_sink>& bufferInUse()
+    {
+        static std::shared_ptr<buffer_sink> sink;
+        return sink;
+    }
+
     bool needsQuotes(std::string_view value)
     {
         return value.empty() || value.find_first_of(" \t\r\n\"=\\") != std::string_view::npos;
@@ -37,6 +99,11 @@
         line += '"';
     }
 
+    std::string linePattern(const std::string& process)
+    {
+        return "time=%Y-%m-%dT%H:%M:%S.%eZ level=%l process=" + process + " %v";
+    }
+
     spdlog::level::level_enum toSpdlog(log_level level)
     {
         switch (level) {
@@ -88,13 +155,30 @@
 
 void startLog(const std::string& process, log_level level)
 {
-    auto logger = spdlog::stderr_logger_st("cuminledge");
-    logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l process=" + process + " %v", spdlog::pattern_time_type::utc);
+    auto logger = spdlog::stdout_logger_st(process);
+    logger->set_pattern(linePattern(process), spdlog::pattern_time_type::utc);
     logger->set_level(toSpdlog(level));
     logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(std::move(logger));
 }
 
+void bufferLog()
+{
+    const auto logger = spdlog::default_logger();
+    auto sink = std::make_shared<buffer_sink>();
+    sink->set_formatter(std::make_unique<spdlog::pattern_formatter>(
+        linePattern(logger->name()), spdlog::pattern_time_type::utc));
+    logger->sinks() = { sink };
+    bufferInUse() = std::move(sink);
+}
+
+void flushLog()
+{
+    if (const auto& sink = bufferInUse()) {
+        sink->writeSome();
+    }
+}
+
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
     logEvent(level, event, std::span<const log_field>(fields.begin(), fields.size()));
--- a/libs/core/include/core/forward/forwarder.hpp
+++ b/libs/core/include/core/forward/forwarder.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <random>
 #include <set>
@@ -20,6 +19,7 @@
 #include <core/forward/turn_cache.hpp>
 #include <core/identity.hpp>
 #include <core/limits/lease_holder.hpp>
+#include <core/limits/waiting_calls.hpp>
 #include <wire/route_table.hpp>
 
 /**
@@ -78,7 +78,7 @@
     std::set<std::pair<time_point, exchange_id>> expiries; ///< of all calls
     std::unordered_map<std::string, exchange_id> callOfUpstream;
     std::unordered_map<std::uint64_t, exchange_id> callOfRequest; ///< by request to the controllers
-    std::map<std::string, std::deque<exchange_id>> rateQueues; ///< by account
+    limits::waiting_calls rateQueues;
     std::set<std::pair<time_point, exchange_id>> rateRetries; ///< calls that ask for a token again then
     program_memory programs;
     std::uint64_t nextUpstream = 1;
--- a/libs/core/include/core/gateway/gateway.hpp
+++ b/libs/core/include/core/gateway/gateway.hpp
@@ -16,6 +16,7 @@
 #include <core/gateway/gateway_settings.hpp>
 #include <core/identity.hpp>
 #include <core/limits/lease_holder.hpp>
+#include <core/limits/waiting_calls.hpp>
 #include <core/manifest/manifest.hpp>
 #include <core/routing/backend_table.hpp>
 
@@ -92,7 +93,7 @@
     std::set<std::uint64_t> outcomeCalls; ///< calls in step Outcome
     std::unordered_map<std::string, known_program> programs; ///< bounded; emptied when full
     limits::lease_holder rate;
-    std::map<std::string, std::deque<std::uint64_t>> rateQueues; ///< calls that wait for a token, by client account
+    limits::waiting_calls rateQueues;
     std::unordered_map<std::string, double> retryTokens; ///< by client account
     std::uint64_t nextCall = 1;
     time_point nextSweepAt;
--- a/libs/core/src/controller/groups.cpp
+++ b/libs/core/src/controller/groups.cpp
@@ -199,13 +199,40 @@
         }
     }
 
+    std::string controlAddressOf(const controller_settings& settings, const std::string& peerAddress)
+    {
+        const auto& seed = settings.controllers.front().operatorAddress;
+        return peerAddress.substr(0, peerAddress.rfind(':')) + seed.substr(seed.rfind(':'));
+    }
+
+    /// Where controllers are named by their peer addresses, the group's own members can be reached without any seed.
+    void addMembers(reduction& r, const hosted_group& group)
+    {
+        auto& settings = r.state.settings;
+        if (!settings.isSeeded) {
+            return;
+        }
+        for (const auto& id : consensus::configurationOf(group.replica).members) {
+            const auto name = consensus::controllerOf(id);
+            if (findController(settings, name) != nullptr) {
+                continue;
+            }
+            settings.controllers.push_back({ name, name, controlAddressOf(settings, name) });
+            if (name != r.self.name) {
+                r.out.emplace_back(connect_peer { name, name });
+            }
+        }
+    }
+
 } // namespace
 
 void loadReplica(reduction& r, const replica_loaded& loaded)
 {
-    if (loaded.group > r.state.settings.groupCount || r.state.isStandby) {
+    if (loaded.group > r.state.settings.groupCount || (r.state.isStandby && loaded.isNew)) {
         return;
     }
+    // What the disk holds says more than seeds, which may name other controllers at each start.
+    r.state.isStandby = false;
     std::vector<std::string> names;
     for (const auto& member : r.state.settings.controllers) {
         names.push_back(member.name);
@@ -216,6 +243,7 @@
     group.replica = consensus::makeReplica(
         r.state.settings.consensus, loaded.group, r.self.name, std::move(names), loaded, r.now);
     group.appliedIndex = loaded.snapshotIndex;
+    addMembers(r, group);
     if (loaded.snapshotIndex == 0) {
         return;
     }
--- a/libs/core/src/controller_client/config_poll.cpp
+++ b/libs/core/src/controller_client/config_poll.cpp
@@ -1,7 +1,5 @@
 #include <core/controller_client/config_poll.hpp>
 
-#include <utility>
-
 #include <core/group.hpp>
 
 namespace cuminledge::core::controller_client {
@@ -36,7 +34,7 @@
     poll.request = client.nextRequest++;
     poll.sentAt = now;
     held.request = poll.request;
-    out.emplace_back(send_message { target, std::move(held) });
+    out.emplace_back(send_message { target, held });
 }
 
 void repollConfiguration(poll_state& poll, time_point now)
--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -216,7 +216,8 @@
         return;
     }
     const bool isRetried = head.status >= firstServerError && mayRunAgain(*subject);
-    if (isForeign || !head.isSigned || head.isEncoded || isRetried) {
+    const bool endsStream = subject->answer.hasBegun && !isSuccess(head.status);
+    if (isForeign || !head.isSigned || head.isEncoded || isRetried || endsStream) {
         c.out.emplace_back(cancel_upstream { head.request });
         leaveServer(c, *subject, true);
         onLost(c, *subject, isForeign ? "an answer to another request" : "status " + std::to_string(head.status));
--- a/libs/core/src/gateway/rate.cpp
+++ b/libs/core/src/gateway/rate.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include <core/group.hpp>
+#include <core/controller_client/rate_requests.hpp>
 
 #include "attempts.hpp"
 #include "refusal.hpp"
@@ -37,28 +37,14 @@
 
     void send(context& c, const std::vector<wire::rate_lease_request>& requests)
     {
-        for (auto request : requests) {
-            request.group = groupOfAccount(request.account, c.state.configuration.groupCount);
-            const auto target = controller_client::targetOf(c.state.controllers, request.group);
-            if (!target.empty()) {
-                c.out.emplace_back(send_message { target, std::move(request) });
-            }
-        }
+        controller_client::sendRateRequests(c.state.controllers, requests, c.state.configuration.groupCount, c.out);
     }
 
     /// @return the call of the account that has waited longest, taken out of the queue; null where none waits.
     call* takeWaiting(context& c, const std::string& account)
     {
-        const auto queue = c.state.rateQueues.find(account);
-        if (queue == c.state.rateQueues.end()) {
-            return nullptr;
-        }
-        const auto id = queue->second.front();
-        queue->second.pop_front();
-        if (queue->second.empty()) {
-            c.state.rateQueues.erase(queue);
-        }
-        return &c.state.calls.at(id);
+        const auto waiting = limits::takeWaiting(c.state.rateQueues, account);
+        return waiting ? &c.state.calls.at(*waiting) : nullptr;
     }
 
 } // namespace
@@ -72,7 +58,7 @@
         return;
     case limits::spend_decision::Waiting:
         subject.step = call_step::Rate;
-        c.state.rateQueues[subject.account].push_back(subject.id);
+        limits::addWaiting(c.state.rateQueues, subject.account, subject.id);
         return;
     case limits::spend_decision::Refused:
         refuse(c, subject, error_code::RateLimited, "the client account's rate is used up", spent.retryAfter);
@@ -85,20 +71,9 @@
 
 void leaveRateQueue(context& c, call& subject)
 {
-    const auto queue = c.state.rateQueues.find(subject.account);
-    if (queue == c.state.rateQueues.end()) {
-        return;
+    if (limits::removeWaiting(c.state.rateQueues, subject.account, subject.id)) {
+        limits::cancelWaiting(c.state.rate, subject.account);
     }
-    auto& waiting = queue->second;
-    const auto place = std::find(waiting.begin(), waiting.end(), subject.id);
-    if (place == waiting.end()) {
-        return;
-    }
-    waiting.erase(place);
-    if (waiting.empty()) {
-        c.state.rateQueues.erase(queue);
-    }
-    limits::cancelWaiting(c.state.rate, subject.account);
 }
 
 void sendRateRequests(context& c)
@@ -108,12 +83,7 @@
 
 void onRateGrant(context& c, const std::string& peer, const wire::rate_lease_grant& grant)
 {
-    const auto group = groupOfAccount(grant.account, c.state.configuration.groupCount);
-    if (grant.notLeader) {
-        controller_client::noteNotLeader(c.state.controllers, group, peer, grant.leader);
-    } else {
-        controller_client::noteLeader(c.state.controllers, group, peer);
-    }
+    controller_client::noteGrant(c.state.controllers, peer, grant, c.state.configuration.groupCount);
     const auto outcome = limits::onRateGrant(c.state.rate, grant, c.now);
     for (std::int64_t i = 0; i < outcome.admitted; ++i) {
         if (auto* subject = takeWaiting(c, grant.account)) {
--- a/libs/core/tests/test_controller_control_calls.cpp
+++ b/libs/core/tests/test_controller_control_calls.cpp
@@ -200,3 +200,27 @@
     cluster.advance(cluster.settings().consensus.electionTimeoutMax * 3);
     CHECK(cluster.control(leader, core::routes_query {}).outcome != control_outcome::Done);
 }
+
+TEST_CASE("A controller that starts again with other seeds keeps its place in its groups", "[control]")
+{
+    controller_cluster cluster(3, 1, 5);
+    const auto leader = cluster.awaitLeader(0);
+    cluster.control(leader, makeSubmission(5, "five"));
+    const auto restarted = otherThan(leader);
+    cluster.kill(restarted);
+    auto& seeds = cluster.settings();
+    seeds.isSeeded = true;
+    std::erase_if(seeds.controllers, [&](const auto& member) { return member.name == restarted; });
+    for (auto& member : seeds.controllers) {
+        member.operatorAddress = member.name + ":80";
+    }
+    cluster.start(restarted);
+    CHECK_FALSE(cluster.stateOf(restarted).isStandby);
+    for (const std::string name : { "c1", "c2", "c3" }) {
+        if (name != leader && name != restarted) {
+            cluster.kill(name);
+        }
+    }
+    cluster.advance(3s);
+    CHECK(cluster.control(cluster.awaitLeader(0), makeSubmission(6, "six")).outcome == control_outcome::Done);
+}
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -149,6 +149,26 @@
     CHECK(g.take<end_answer>());
 }
 
+TEST_CASE("A failure of the server that a stream goes on at is no part of the stream", "[forward]")
+{
+    forward_gateway g;
+    g.configure();
+    g.give(g.makeRequest("/draft/1"));
+    const auto first = g.take<forward_upstream>();
+    g.give(forward_gateway::makeHead(*first));
+    g.give(upstream_data { first->request, "id: 1\ndata: one\n\n" });
+    g.give(upstream_failed { first->request, upstream_phase::Answering, "reset" });
+    const auto second = g.take<forward_upstream>();
+    REQUIRE(second);
+    g.out.clear();
+    g.give(forward_gateway::makeHead(*second, 500));
+    g.give(upstream_data { second->request, "data: not an event of it\n\n" });
+    g.give(upstream_finished { second->request });
+    CHECK_FALSE(g.take<answer_data>());
+    CHECK_FALSE(g.take<end_answer>());
+    CHECK(g.take<abort_exchange>());
+}
+
 TEST_CASE("A stream that may not be resumed is broken off, not ended", "[forward]")
 {
     forward_gateway g;
@@ -223,11 +243,11 @@
     g.give(shutdown_requested {});
     CHECK_FALSE(g.take<set_ready>()->ready);
     CHECK(g.take<announce_closing>());
+    g.pass(g.state.settings.shutdownDelay);
+    CHECK(g.take<close_listeners>());
     g.give(g.makeRequest("/pay/1"));
     const auto sent = g.take<forward_upstream>();
     REQUIRE(sent);
-    g.pass(g.state.settings.shutdownDelay);
-    CHECK(g.take<close_listeners>());
     g.pass(std::chrono::milliseconds(1'500));
     CHECK_FALSE(g.take<stop_process>());
     g.give(forward_gateway::makeHead(*sent));
@@ -257,6 +277,7 @@
     grant.session = asked->session;
     grant.epoch = 1;
     grant.lease = 1;
+    grant.duration = std::chrono::milliseconds(2'000);
     grant.retryAfter = std::chrono::milliseconds(50);
     g.out.clear();
     g.give(peer_message { "c1", 1, grant });
--- a/libs/core/tests/test_limits_refusals.cpp
+++ b/libs/core/tests/test_limits_refusals.cpp
@@ -57,6 +57,7 @@
     refusal.session = requests[0].session;
     refusal.epoch = 1;
     refusal.lease = 1;
+    refusal.duration = 2s;
     refusal.retryAfter = std::chrono::hours(1);
     const auto outcome = onRateGrant(holder, refusal, start);
     CHECK(outcome.refused == 1);
--- a/libs/host/src/process.cpp
+++ b/libs/host/src/process.cpp
@@ -403,11 +403,13 @@
         { { "role", toString(m_settings.role) }, { "version", CUMINLEDGE_VERSION },
             { "incarnation", std::to_string(m_incarnation) }, { "peer_address", m_settings.peerAddress },
             { "admin_address", m_settings.adminAddress } });
+    bufferLog();
     waitForSignal();
     scheduleTick();
     drainEvents();
     m_context.run();
     logEvent(log_level::Info, "stopped", { { "exit_code", std::to_string(m_exitCode) } });
+    flushLog();
     return m_exitCode;
 }
 
@@ -452,6 +454,7 @@
     m_timer.async_wait([this](const boost::system::error_code& failed) {
         if (!failed) {
             happen(core::tick {});
+            flushLog();
             scheduleTick();
         }
     });
