Let controllers join behind the seeds, replace lost ones at other addresses, and return

Cause: a deployment names three seeds at most, which are never updated, but five controllers may stand behind them, and one may be replaced by an empty one at another address. A controller that was not a seed stayed a standby: five controllers hosted groups of three, and after a replacement the group went on with two members, so that a second loss stopped it (docs/FAILURES.md listed this as open).

Ruled out: naming all controllers in the settings (the platform tells three addresses and nothing more); adding the leader to the answer of a poll only (a standby and a joining controller do not poll); letting a wiped seed form a group when all seeds are blank (the voters may have moved to others meanwhile: forming needs the setting 'bootstrap').

Change: any process that proves the secret as a controller may ask to join; it becomes a learner, then a voter up to 2f+1 (five at least where there are as many, never an even number for long); a voter silent for 2 s gives its place to a learner that has caught up; a removed voter asks to join again. The configuration of group 0 is the directory of controllers; it is pushed to every connected process, so gateways and standbys find all of them.

Conclusion: groups survive a second loss after a repair, and two losses with five controllers.

--- a/libs/core/include/core/consensus/consensus.hpp
+++ b/libs/core/include/core/consensus/consensus.hpp
@@ -33,6 +33,9 @@
 replica makeReplica(const consensus_settings& settings, std::uint32_t group, const std::string& controller,
     std::vector<std::string> initialMembers, const replica_loaded& loaded, time_point now, const safeguards& guards = {});
 
+/// Notes a controller that hosts the group, or may: while this replica belongs to no group, it asks there to join.
+void addContact(replica& r, const std::string& controller);
+
 void onTick(replica& r, time_point now, std::mt19937_64& random, replica_output& out);
 
 /// Takes any bytes from a peer; what is not a valid message for this replica is counted and dropped.
--- a/libs/core/include/core/consensus/replica.hpp
+++ b/libs/core/include/core/consensus/replica.hpp
@@ -63,6 +63,7 @@
     std::deque<std::uint64_t> inFlight; ///< last index of each append that is not answered yet
     time_point lastProgress {}; ///< when an answer last moved it on, or a retry began
     time_point lastAnswer {};
+    time_point followedSince {}; ///< when this leader began to send to it
     time_point ackedRoundStart {}; ///< when the newest answered request was sent
     std::uint64_t snapshotIndex = 0; ///< of the snapshot being sent; 0: none
     std::uint64_t snapshotOffset = 0;
@@ -116,6 +117,7 @@
     std::string controller; ///< this process's name
     std::string id; ///< "CONTROLLER#DISK_INCARNATION"
     std::vector<std::string> initialMembers; ///< controllers by name
+    std::set<std::string> contacts; ///< further controllers that may know the group, by name
     bool isStopped = false; ///< its disk failed; it takes no part any more
     std::string stopReason;
 
--- a/libs/core/include/core/consensus/settings.hpp
+++ b/libs/core/include/core/consensus/settings.hpp
@@ -9,7 +9,8 @@
 
 namespace cuminledge::core::consensus {
 
-/// Times and sizes of the replication protocol. All replicas of a group use the same ones.
+/// Times, sizes and membership rules of the replication protocol. All replicas of a group use the same ones, but for
+/// formsGroup.
 struct consensus_settings {
     std::chrono::milliseconds heartbeatInterval { 50 };
     std::chrono::milliseconds electionTimeoutMin { 300 }; ///< also how long a follower stands by its leader
@@ -21,6 +22,13 @@
     std::size_t maxEntriesPerAppend = 256;
     std::size_t maxBytesPerAppend = 1U << 20U;
     std::size_t maxAppendsInFlight = 8; ///< for each follower
+    bool formsGroup = true; ///< false: with an empty disk this replica only joins a group that exists already
+    bool admitsOthers = false; ///< controllers that are not initial members may join, and return after a removal
+    std::size_t voters = 0; ///< with so many members, further replicas stay learners; 0: no bound
+    /// A voter silent for so long gives its place to a learner that has caught up. Longer than a restart takes.
+    std::chrono::milliseconds replaceAfter { 2'000 };
+    /// A learner silent for so long is dropped; it asks to join again when it is back.
+    std::chrono::milliseconds dropLearnerAfter { 10'000 };
 };
 
 /**
--- a/libs/core/include/core/controller/controller.hpp
+++ b/libs/core/include/core/controller/controller.hpp
@@ -109,6 +109,17 @@
     time_point clockCountedAt {}; ///< unused in group 0; while leading: up to when time was counted
 };
 
+/**
+ * The controllers that this one knows of.
+ *
+ * Those of the settings; where the settings name only seeds, also those of the configuration of group 0, which changes
+ * as controllers join and are replaced.
+ */
+struct controller_directory {
+    std::vector<controller_member> controllers;
+    std::uint64_t index = 0; ///< log index of the configuration that it follows; 0: the settings alone
+};
+
 struct controller_counters {
     std::uint64_t commandsAnswered = 0;
     std::uint64_t queriesAnswered = 0;
@@ -125,6 +136,7 @@
 /// Made with the settings filled in. Then process_started, one replica_loaded for each group, and ticks.
 struct controller_state {
     controller_settings settings;
+    controller_directory directory;
     std::map<std::uint32_t, hosted_group> groups;
     store::control_state control; ///< of group 0
     std::optional<manifest::manifest> manifest; ///< control.manifest, parsed
@@ -132,7 +144,7 @@
     membership members;
     std::map<std::string, std::string> peerRoles; ///< of connected processes, by name
     bool isReady = false;
-    bool isStandby = false; ///< hosts no group: it is not one of the settings' controllers
+    bool isStandby = false; ///< hosts no group
     std::optional<time_point> shutdownSince;
     time_point nextSweep {};
     controller_counters counters;
@@ -141,6 +153,9 @@
 /// Commands of one group that may wait for their commit; more are refused as overloaded.
 constexpr std::size_t maxPendingProposals = 20'000;
 
+/// @return the controller, or null.
+const controller_member* findController(const controller_directory& directory, const std::string& name);
+
 /// @return the JSON-RPC methods that operators may call.
 const std::vector<std::string>& operatorMethods();
 
--- a/libs/core/include/core/controller/controller_settings.hpp
+++ b/libs/core/include/core/controller/controller_settings.hpp
@@ -20,7 +20,8 @@
 
 struct controller_settings {
     std::vector<controller_member> controllers;
-    bool isSeeded = false; ///< the list came from seeds: a process that is not in it hosts no group
+    bool isSeeded = false; ///< the list came from seeds: others may host the groups too, and are found through these
+    bool hostsGroups = true; ///< false: a standby, which only connects to the controllers
     std::uint32_t groupCount = 4; ///< groups 1..groupCount; fixed when the system is first started
     consensus::consensus_settings consensus;
     limits::lease_settings rateLeases;
@@ -34,7 +35,4 @@
 /// Reads the object "controller" of a controller's settings; adds a fault for each value out of its range.
 controller_settings readSettings(json_object_reader& reader);
 
-/// @return the controller, or null.
-const controller_member* findController(const controller_settings& settings, const std::string& name);
-
 } // namespace cuminledge::core::controller
--- a/libs/core/include/core/controller_client/controller_client.hpp
+++ b/libs/core/include/core/controller_client/controller_client.hpp
@@ -52,6 +52,8 @@
 /// Made by readControllers() or by hand; start() before the first request.
 struct client_state {
     std::vector<controller_address> controllers;
+    std::size_t seeds = 0; ///< so many at the front came from the settings, and stay
+    std::uint64_t directoryIndex = 0; ///< of the last directory taken
     std::set<std::string> connected;
     std::map<std::uint32_t, std::string> leaders; ///< by group, as last heard
     std::size_t nextController = 0; ///< round robin while a leader is not known
@@ -68,6 +70,10 @@
 /// Connects to every controller.
 void start(client_state& state, effects& out);
 
+/// Learns which controllers there are, where the settings name only seeds. Connects to new ones and leaves those that
+/// are gone; a list older than the last one changes nothing.
+void takeDirectory(client_state& state, const wire::controller_directory& directory, effects& out);
+
 /// @return whether the peer is one of the controllers.
 bool isController(const client_state& state, const std::string& peer);
 
--- a/libs/core/src/consensus/consensus.cpp
+++ b/libs/core/src/consensus/consensus.cpp
@@ -79,6 +79,9 @@
         if (now >= r.electionDeadline) {
             startPreVote(r, now, out);
         }
+        if (mayHaveBeenRemoved(r, now)) {
+            requestJoin(r, now, out);
+        }
         return;
     }
     if (configurationOf(r).members.empty() || now >= r.electionDeadline) {
--- a/libs/core/src/consensus/internal.hpp
+++ b/libs/core/src/consensus/internal.hpp
@@ -133,6 +133,9 @@
 /// Asks the other controllers whether a group exists, and to be taken in.
 void requestJoin(replica& r, time_point now, replica_output& out);
 
+/// @return whether it has been so quiet that the group may have gone on without this member.
+bool mayHaveBeenRemoved(const replica& r, time_point now);
+
 /// As the leader, takes the next step of replacing lost replicas, if one is due.
 void advanceMembership(replica& r, time_point now, replica_output& out);
 
--- a/libs/core/src/consensus/membership.cpp
+++ b/libs/core/src/consensus/membership.cpp
@@ -52,6 +52,7 @@
             }
             followers[id].nextIndex = lastIndex(r) + 1;
             followers[id].lastProgress = now;
+            followers[id].followedSince = now;
         }
     }
     r.followers = std::move(followers);
@@ -61,17 +62,34 @@
 // Forming a group, joining one
 //------------------------------------------------------------------------------------------------------------------
 
+void addContact(replica& r, const std::string& controller)
+{
+    if (controller != r.controller && !contains(r.initialMembers, controller)) {
+        r.contacts.insert(controller);
+    }
+}
+
 void requestJoin(replica& r, time_point now, replica_output& out)
 {
     if (now - r.lastJoinRequest < 2 * r.settings.heartbeatInterval) {
         return;
     }
     r.lastJoinRequest = now;
+    const wire::join_request request { isBlank(r) };
     for (const auto& controller : r.initialMembers) {
         if (controller != r.controller) {
-            sendNow(r, controller, wire::join_request { isBlank(r) }, out);
+            sendNow(r, controller, request, out);
         }
     }
+    for (const auto& controller : r.contacts) {
+        sendNow(r, controller, request, out);
+    }
+}
+
+/// A replica that was down when another took its place finds nobody that answers its requests for votes.
+bool mayHaveBeenRemoved(const replica& r, time_point now)
+{
+    return r.settings.admitsOthers && now - r.lastLeaderContact > 2 * r.settings.electionTimeoutMax;
 }
 
 /// Forms the group if every initial member is known to be blank. Only the first of them by name does: two that formed
@@ -80,7 +98,7 @@
 void formGroup(replica& r, time_point now)
 {
     const bool isFirst = *std::min_element(r.initialMembers.begin(), r.initialMembers.end()) == r.controller;
-    if (!isFirst || !isBlank(r)) {
+    if (!r.settings.formsGroup || !isFirst || !isBlank(r)) {
         return;
     }
     wire::group_configuration configuration;
@@ -100,6 +118,9 @@
 void handle(replica& r, const std::string& from, const wire::join_response& m, time_point now,
     [[maybe_unused]] replica_output& out)
 {
+    for (const auto& member : m.members) {
+        addContact(r, controllerOf(member));
+    }
     if (!m.isBlank && r.guards.bootstrapOnlyBlank) {
         r.blankReplicas.erase(controllerOf(from));
         return;
@@ -145,7 +166,8 @@
 {
     wire::group_configuration next = configurationOf(r);
     const std::string controller = controllerOf(id);
-    const bool isExpected = contains(r.initialMembers, controller) || hasReplicaOf(next.members, controller);
+    const bool isExpected = r.settings.admitsOthers || contains(r.initialMembers, controller)
+        || hasReplicaOf(next.members, controller);
     if (!isExpected || controller == r.controller || contains(next.members, id) || contains(next.learners, id)) {
         return;
     }
@@ -166,7 +188,7 @@
 
 void handle(replica& r, const std::string& from, [[maybe_unused]] const wire::join_request& m, time_point now, replica_output& out)
 {
-    sendNow(r, from, wire::join_response { isBlank(r) }, out);
+    sendNow(r, from, wire::join_response { isBlank(r), configurationOf(r).members }, out);
     noteLostReplica(r, from);
     if (mayChange(r)) {
         addLearner(r, from, now, out);
@@ -195,19 +217,79 @@
     changeTo(r, next, now, out);
 }
 
+/// @return whether this leader has heard nothing of the replica for that long.
+static bool isSilent(const replica& r, const std::string& id, std::chrono::milliseconds span, time_point now)
+{
+    const auto found = r.followers.find(id);
+    return found != r.followers.end() && now - std::max(found->second.lastAnswer, found->second.followedSince) > span;
+}
+
+/// An even number of voters survives no more losses than the odd number below it, so a learner that would make their
+/// number even waits for a second one.
+static bool hasRoomForVoter(const replica& r, std::size_t readyLearners)
+{
+    const std::size_t count = configurationOf(r).members.size();
+    const bool becomesEven = count % 2 == 1;
+    return r.settings.voters == 0 || (count < r.settings.voters && (!becomesEven || readyLearners >= 2));
+}
+
+static bool isReady(const replica& r, const std::string& learner, time_point now)
+{
+    const auto found = r.followers.find(learner);
+    const bool caughtUp = found != r.followers.end() && isCaughtUp(r, found->second, now);
+    return caughtUp || !r.guards.promoteOnlyCaughtUp;
+}
+
+/// The silent voter goes first and the learner comes in by the next change, as in promote().
+/// @return whether a voter was removed.
+static bool removeSilentVoter(replica& r, time_point now, replica_output& out)
+{
+    wire::group_configuration next = configurationOf(r);
+    const auto silent = std::find_if(next.members.begin(), next.members.end(),
+        [&](const std::string& id) { return id != r.id && isSilent(r, id, r.settings.replaceAfter, now); });
+    if (silent == next.members.end()) {
+        return false;
+    }
+    next.members.erase(silent);
+    changeTo(r, next, now, out);
+    return true;
+}
+
+static void dropSilentLearner(replica& r, time_point now, replica_output& out)
+{
+    wire::group_configuration next = configurationOf(r);
+    const auto silent = std::find_if(next.learners.begin(), next.learners.end(),
+        [&](const std::string& id) { return isSilent(r, id, r.settings.dropLearnerAfter, now); });
+    if (silent != next.learners.end()) {
+        next.learners.erase(silent);
+        changeTo(r, next, now, out);
+    }
+}
+
 void advanceMembership(replica& r, time_point now, replica_output& out)
 {
     if (!mayChange(r)) {
         return;
     }
+    std::vector<std::string> ready;
     for (const auto& id : configurationOf(r).learners) {
-        const auto found = r.followers.find(id);
-        const bool isReady = found != r.followers.end() && isCaughtUp(r, found->second, now);
-        if (isReady || !r.guards.promoteOnlyCaughtUp) {
-            promote(r, std::string(id), now, out);
+        if (isReady(r, id, now)) {
+            ready.push_back(id);
+        }
+    }
+    for (const auto& id : ready) {
+        const bool isReplacement = hasReplicaOf(configurationOf(r).members, controllerOf(id));
+        if (isReplacement || hasRoomForVoter(r, ready.size())) {
+            promote(r, id, now, out);
             return;
         }
     }
+    if (!ready.empty() && removeSilentVoter(r, now, out)) {
+        return;
+    }
+    if (r.settings.admitsOthers) {
+        dropSilentLearner(r, now, out);
+    }
 }
 
 result<std::uint64_t> removeMember(replica& r, const std::string& controller, time_point now, replica_output& out)
--- a/libs/core/src/controller/control_calls.cpp
+++ b/libs/core/src/controller/control_calls.cpp
@@ -24,7 +24,7 @@
         reply_to_control reply;
         reply.exchange = exchange;
         // Later announcements come straight here, rather than by a redirection each time.
-        reply.leader = findController(r.state.settings, r.self.name)->operatorAddress;
+        reply.leader = findController(r.state.directory, r.self.name)->operatorAddress;
         r.out.emplace_back(std::move(reply));
     }
 
@@ -39,23 +39,13 @@
         return group;
     }
 
-    std::string joined(const std::vector<std::string>& faults)
-    {
-        std::string text;
-        for (const auto& fault : faults) {
-            text += text.empty() ? "" : "; ";
-            text += fault;
-        }
-        return text;
-    }
-
 } // namespace
 
 void redirectControl(reduction& r, exchange_id exchange)
 {
     ++r.state.counters.redirected;
     const auto leader = leaderOf(r.state, systemGroup);
-    const auto* member = findController(r.state.settings, leader);
+    const auto* member = findController(r.state.directory, leader);
     const bool isElsewhere = member != nullptr && leader != r.self.name && !member->operatorAddress.empty();
     auto reply = refusal(exchange, isElsewhere ? control_outcome::Redirected : control_outcome::Unavailable,
         "another controller leads, or none is known to");
@@ -94,7 +84,7 @@
 {
     const auto faults = route_table::validate(submission.table);
     if (!faults.empty()) {
-        const auto text = joined(faults);
+        const auto text = joined(faults, "; ");
         log(r, log_level::Warning, "routes_refused",
             { { "version", std::to_string(submission.table.version) }, { "faults", text } });
         r.out.emplace_back(refusal(submission.exchange, control_outcome::Invalid, text));
--- a/libs/core/src/controller/controller.cpp
+++ b/libs/core/src/controller/controller.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <fmt/format.h>
+
 #include <controller/internal.hpp>
 #include <core/consensus/consensus.hpp>
 #include <core/group.hpp>
@@ -13,6 +15,11 @@
     r.out.emplace_back(write_log { level, std::move(event), std::move(fields) });
 }
 
+std::string joined(const std::vector<std::string>& texts, const char* separator)
+{
+    return fmt::format("{}", fmt::join(texts, separator));
+}
+
 namespace {
 
     constexpr std::chrono::milliseconds sweepInterval { 50 };
@@ -25,10 +32,15 @@
 
     void receive(reduction& r, const std::string& peer, const wire::consensus_envelope& envelope)
     {
-        // The replicas trust one another, so only the controllers of the settings may speak for them.
-        if (findController(r.state.settings, peer) == nullptr) {
-            ++r.state.counters.badRequests;
-            return;
+        // The replicas trust one another, so only controllers may speak for them: those of the settings, or where
+        // these name only seeds, any process that has proved the secret and calls itself one.
+        if (findController(r.state.directory, peer) == nullptr) {
+            const auto role = r.state.peerRoles.find(peer);
+            if (!r.state.settings.isSeeded || role == r.state.peerRoles.end() || role->second != "controller") {
+                ++r.state.counters.badRequests;
+                return;
+            }
+            learnController(r, peer);
         }
         receiveEnvelope(r, peer, envelope);
     }
@@ -53,6 +65,16 @@
         receiveRateRequest(r, peer, request);
     }
 
+    void receive(reduction& r, const std::string& peer, const wire::controller_directory& update)
+    {
+        const auto role = r.state.peerRoles.find(peer);
+        if (role == r.state.peerRoles.end() || role->second != "controller") {
+            ++r.state.counters.badRequests;
+            return;
+        }
+        receiveDirectory(r, update);
+    }
+
     /// Every other message is not a controller's to take.
     template <typename Message>
     void receive(reduction& r, const std::string& /*peer*/, const Message& /*message*/)
@@ -64,30 +86,19 @@
     // The process
     //--------------------------------------------------------------------------------------------------------------
 
-    void connectToControllers(reduction& r)
-    {
-        for (const auto& member : r.state.settings.controllers) {
-            if (member.name != r.self.name) {
-                r.out.emplace_back(connect_peer { member.name, member.address });
-            }
-        }
-    }
-
     void start(reduction& r)
     {
+        startDirectory(r);
         if (r.state.isStandby) {
-            log(r, log_level::Info, "standby", { { "reason", "not one of the seeds" } });
-            connectToControllers(r);
+            log(r, log_level::Info, "standby", { { "reason", "settings" } });
             r.out.emplace_back(set_ready { true, "" });
             return;
         }
-        if (findController(r.state.settings, r.self.name) == nullptr) {
+        if (findController(r.state.directory, r.self.name) == nullptr) {
             log(r, log_level::Error, "settings_fault",
                 { { "path", "$.controller.controllers" }, { "message", "expected this process's own name in the list" } });
             r.out.emplace_back(stop_process { 2 });
-            return;
         }
-        connectToControllers(r);
     }
 
     bool knowsAllLeaders(controller_state& state)
@@ -125,7 +136,7 @@
 
     void handle(reduction& r, const process_started& /*started*/)
     {
-        r.state.isStandby = r.state.settings.isSeeded && findController(r.state.settings, r.self.name) == nullptr;
+        r.state.isStandby = !r.state.settings.hostsGroups;
         start(r);
     }
 
@@ -163,6 +174,7 @@
     void handle(reduction& r, const peer_connected& connected)
     {
         r.state.peerRoles[connected.peer] = connected.role;
+        sendDirectory(r, connected.peer);
     }
 
     void handle(reduction& r, const peer_disconnected& disconnected)
--- a/libs/core/src/controller/controller_settings.cpp
+++ b/libs/core/src/controller/controller_settings.cpp
@@ -12,6 +12,9 @@
     constexpr std::size_t maxControllers = 31;
     constexpr std::size_t maxAddressBytes = 256;
     constexpr std::int64_t maxGroups = 1024;
+    constexpr std::int64_t maxToleratedLosses = 10;
+    /// Five voters where there are as many: one of them may be down for planned work when another is lost.
+    constexpr std::int64_t defaultToleratedLosses = 2;
 
     controller_member readMember(json_object_reader& reader, std::set<std::string>& known)
     {
@@ -57,17 +60,17 @@
         = reader.milliseconds("announce_lease_ms", milliseconds(200), milliseconds(60'000), settings.announceLease);
     settings.turnTimeout
         = reader.milliseconds("turn_timeout_ms", milliseconds(1'000), std::chrono::hours(24), settings.turnTimeout);
+    settings.hostsGroups = reader.boolean("hosts_groups", settings.hostsGroups);
+    settings.consensus.formsGroup = reader.boolean("bootstrap", settings.consensus.formsGroup);
+    const auto toleratedLosses = reader.integer("tolerated_losses", 0, maxToleratedLosses, defaultToleratedLosses);
+    if (settings.isSeeded) {
+        settings.consensus.admitsOthers = true;
+        settings.consensus.voters = static_cast<std::size_t>(2 * std::max(toleratedLosses, defaultToleratedLosses) + 1);
+    }
     settings.exitsOnStorageFailure = reader.boolean("exit_on_storage_failure", settings.exitsOnStorageFailure);
     settings.shutdownLimit
         = reader.milliseconds("shutdown_limit_ms", milliseconds(0), milliseconds(60'000), settings.shutdownLimit);
     return settings;
 }
 
-const controller_member* findController(const controller_settings& settings, const std::string& name)
-{
-    const auto found = std::find_if(settings.controllers.begin(), settings.controllers.end(),
-        [&name](const controller_member& member) { return member.name == name; });
-    return found == settings.controllers.end() ? nullptr : &*found;
-}
-
 } // namespace cuminledge::core::controller
--- a/libs/core/src/controller/groups.cpp
+++ b/libs/core/src/controller/groups.cpp
@@ -135,6 +135,15 @@
         noteApplied(r, group, *command, outcome);
     }
 
+    void noteConfiguration(reduction& r, const hosted_group& group)
+    {
+        const auto& configuration = consensus::configurationOf(group.replica);
+        log(r, log_level::Info, "group_members",
+            { { "group", std::to_string(group.group) }, { "members", joined(configuration.members, ",") },
+                { "learners", joined(configuration.learners, ",") } });
+        followConfiguration(r, group);
+    }
+
     void applyEntry(reduction& r, hosted_group& group, const wire::log_entry& entry)
     {
         group.appliedIndex = entry.index;
@@ -143,7 +152,9 @@
         if (proposal && !isOurs) {
             answerLost(r, group.group, proposal->origin);
         }
-        if (entry.kind == wire::log_entry_kind::Command) {
+        if (entry.kind == wire::log_entry_kind::Configuration) {
+            noteConfiguration(r, group);
+        } else if (entry.kind == wire::log_entry_kind::Command) {
             applyCommandEntry(r, group, entry, isOurs ? &*proposal : nullptr);
         }
     }
@@ -184,6 +195,7 @@
             }
             group.appliedIndex = output.installed->index;
             noteStateReplaced(r, group);
+            followConfiguration(r, group);
         }
         for (const auto& entry : output.committed) {
             applyEntry(r, group, entry);
@@ -199,40 +211,13 @@
         }
     }
 
-    std::string controlAddressOf(const controller_settings& settings, const std::string& peerAddress)
-    {
-        const auto& seed = settings.controllers.front().operatorAddress;
-        return peerAddress.substr(0, peerAddress.rfind(':')) + seed.substr(seed.rfind(':'));
-    }
-
-    /// Where controllers are named by their peer addresses, the group's own members can be reached without any seed.
-    void addMembers(reduction& r, const hosted_group& group)
-    {
-        auto& settings = r.state.settings;
-        if (!settings.isSeeded) {
-            return;
-        }
-        for (const auto& id : consensus::configurationOf(group.replica).members) {
-            const auto name = consensus::controllerOf(id);
-            if (findController(settings, name) != nullptr) {
-                continue;
-            }
-            settings.controllers.push_back({ name, name, controlAddressOf(settings, name) });
-            if (name != r.self.name) {
-                r.out.emplace_back(connect_peer { name, name });
-            }
-        }
-    }
-
 } // namespace
 
 void loadReplica(reduction& r, const replica_loaded& loaded)
 {
-    if (loaded.group > r.state.settings.groupCount || (r.state.isStandby && loaded.isNew)) {
+    if (loaded.group > r.state.settings.groupCount || r.state.isStandby) {
         return;
     }
-    // What the disk holds says more than seeds, which may name other controllers at each start.
-    r.state.isStandby = false;
     std::vector<std::string> names;
     for (const auto& member : r.state.settings.controllers) {
         names.push_back(member.name);
@@ -243,7 +228,10 @@
     group.replica = consensus::makeReplica(
         r.state.settings.consensus, loaded.group, r.self.name, std::move(names), loaded, r.now);
     group.appliedIndex = loaded.snapshotIndex;
-    addMembers(r, group);
+    for (const auto& member : r.state.directory.controllers) {
+        consensus::addContact(group.replica, member.name);
+    }
+    followConfiguration(r, group);
     if (loaded.snapshotIndex == 0) {
         return;
     }
--- a/libs/core/src/controller/internal.hpp
+++ b/libs/core/src/controller/internal.hpp
@@ -40,6 +40,25 @@
 /// Hands every leadership over. @return whether this controller leads nothing any more.
 bool handOver(reduction& r);
 
+//------------------------------------------------------------------------------------------------------------------
+// directory.cpp: which controllers there are
+//------------------------------------------------------------------------------------------------------------------
+
+/// Takes the controllers of the settings, and connects to them.
+void startDirectory(reduction& r);
+
+/// Adds a controller that has shown itself, and connects to it.
+void learnController(reduction& r, const std::string& name);
+
+/// The configuration of a group this controller hosts may have changed.
+void followConfiguration(reduction& r, const hosted_group& group);
+
+/// Another controller's directory. An older one than is held changes nothing.
+void receiveDirectory(reduction& r, const wire::controller_directory& update);
+
+/// Tells a process which controllers there are, if more is known than its settings say.
+void sendDirectory(reduction& r, const std::string& peer);
+
 //------------------------------------------------------------------------------------------------------------------
 // duties.cpp: what follows from applied commands and from leadership
 //------------------------------------------------------------------------------------------------------------------
@@ -129,6 +148,9 @@
 /// @return the controller that leads the group as far as is known; empty if unknown.
 std::string leaderOf(controller_state& state, std::uint32_t group);
 
+/// @return the texts in one, for a log line.
+std::string joined(const std::vector<std::string>& texts, const char* separator);
+
 void log(reduction& r, log_level level, std::string event, std::vector<std::pair<std::string, std::string>> fields);
 
 } // namespace cuminledge::core::controller
--- a/libs/core/src/controller/operators.cpp
+++ b/libs/core/src/controller/operators.cpp
@@ -44,7 +44,7 @@
     ++r.state.counters.redirected;
     Json::Value details(Json::objectValue);
     const auto leader = leaderOf(r.state, group);
-    const auto* member = findController(r.state.settings, leader);
+    const auto* member = findController(r.state.directory, leader);
     details["group"] = group;
     details["leader"] = leader;
     details["leader_address"] = member == nullptr ? std::string() : member->operatorAddress;
--- a/libs/core/src/controller_client/controller_client.cpp
+++ b/libs/core/src/controller_client/controller_client.cpp
@@ -66,11 +66,36 @@
 
 void start(client_state& state, effects& out)
 {
+    state.seeds = state.controllers.size();
     for (const auto& controller : state.controllers) {
         out.emplace_back(connect_peer { controller.name, controller.address });
     }
 }
 
+void takeDirectory(client_state& state, const wire::controller_directory& directory, effects& out)
+{
+    if (directory.index < state.directoryIndex) {
+        return;
+    }
+    state.directoryIndex = directory.index;
+    const auto& named = directory.controllers;
+    for (const auto& name : named) {
+        if (!isController(state, name)) {
+            state.controllers.push_back({ name, name });
+            out.emplace_back(connect_peer { name, name });
+        }
+    }
+    const auto firstLearned = state.controllers.begin() + static_cast<std::ptrdiff_t>(state.seeds);
+    const auto gone = std::stable_partition(firstLearned, state.controllers.end(),
+        [&named](const controller_address& each) { return std::find(named.begin(), named.end(), each.name) != named.end(); });
+    for (auto each = gone; each != state.controllers.end(); ++each) {
+        state.connected.erase(each->name);
+        std::erase_if(state.leaders, [&each](const auto& leader) { return leader.second == each->name; });
+        out.emplace_back(disconnect_peer { each->name });
+    }
+    state.controllers.erase(gone, state.controllers.end());
+}
+
 bool isController(const client_state& state, const std::string& peer)
 {
     return std::any_of(state.controllers.begin(), state.controllers.end(),
--- a/libs/core/tests/controller_cluster.hpp
+++ b/libs/core/tests/controller_cluster.hpp
@@ -32,6 +32,7 @@
 /// One controller process.
 struct fake_controller {
     core::process_identity identity;
+    core::controller::controller_settings settings;
     std::unique_ptr<core::controller::controller_state> state;
     std::mt19937_64 random;
     std::map<std::uint32_t, fake_disk> disks;
@@ -50,14 +51,40 @@
         }
         m_settings.groupCount = groupCount;
         for (const auto& member : m_settings.controllers) {
-            auto& controller = m_controllers[member.name];
-            controller.identity = { member.name, "region", "domain", 1 };
-            for (std::uint32_t group = 0; group <= groupCount; ++group) {
-                controller.disks[group].held.group = group;
-                controller.disks[group].held.isNew = true;
-                controller.disks[group].held.diskIncarnation = m_random();
-            }
-            start(member.name);
+            add(member.name, m_settings);
+        }
+    }
+
+    /// Controllers of a deployment whose settings name seeds, all of them with these settings.
+    controller_cluster(
+        const std::vector<std::string>& names, core::controller::controller_settings settings, std::uint64_t seed)
+        : m_settings(std::move(settings))
+        , m_random(seed)
+    {
+        for (const auto& name : names) {
+            add(name, m_settings);
+        }
+    }
+
+    /// Starts a further process with empty disks.
+    void add(const std::string& name, const core::controller::controller_settings& settings)
+    {
+        auto& controller = m_controllers[name];
+        controller.identity = { name, "region", "domain", 1 };
+        controller.settings = settings;
+        wipe(name);
+        start(name);
+    }
+
+    /// Empties the disks of a process that is down; what it finds there at its next start is a new incarnation.
+    void wipe(const std::string& name)
+    {
+        auto& controller = m_controllers.at(name);
+        for (std::uint32_t group = 0; group <= controller.settings.groupCount; ++group) {
+            controller.disks[group].held = {};
+            controller.disks[group].held.group = group;
+            controller.disks[group].held.isNew = true;
+            controller.disks[group].held.diskIncarnation = m_random();
         }
     }
 
@@ -77,6 +104,17 @@
     {
         m_controllers.at(name).isAlive = false;
         m_controllers.at(name).state.reset();
+        std::erase_if(m_dials, [&name](const auto& dial) { return dial.first == name; });
+        std::set<std::string> peers;
+        for (const auto& [one, other] : m_links) {
+            if (one == name || other == name) {
+                peers.insert(one == name ? other : one);
+            }
+        }
+        std::erase_if(m_links, [&name](const auto& link) { return link.first == name || link.second == name; });
+        for (const auto& peer : peers) {
+            happen(peer, core::peer_disconnected { name, "test" });
+        }
     }
 
     void start(const std::string& name)
@@ -84,7 +122,7 @@
         auto& controller = m_controllers.at(name);
         controller.isAlive = true;
         controller.state = std::make_unique<core::controller::controller_state>();
-        controller.state->settings = m_settings;
+        controller.state->settings = controller.settings;
         controller.random.seed(m_random());
         happen(name, core::process_started { 0, 1 });
         for (auto& [group, disk] : controller.disks) {
@@ -115,6 +153,7 @@
         constexpr std::chrono::milliseconds tickInterval { 10 };
         for (auto end = m_now + time; m_now < end;) {
             m_now += tickInterval;
+            connectDialled();
             for (auto& [name, controller] : m_controllers) {
                 if (controller.isAlive) {
                     happen(name, core::tick {});
@@ -262,6 +301,10 @@
     {
         if (auto* message = std::get_if<core::send_message>(&effect)) {
             m_queue.push_back({ name, message->peer, std::move(message->body) });
+        } else if (const auto* dial = std::get_if<core::connect_peer>(&effect)) {
+            m_dials.insert({ name, dial->peer });
+        } else if (const auto* ended = std::get_if<core::disconnect_peer>(&effect)) {
+            m_dials.erase({ name, ended->peer });
         } else if (auto* reply = std::get_if<core::reply_to_operator>(&effect)) {
             operatorReplies[reply->exchange] = *reply;
         } else if (auto* answer = std::get_if<core::reply_to_control>(&effect)) {
@@ -272,6 +315,24 @@
         }
     }
 
+    [[nodiscard]] bool isUp(const std::string& name) const
+    {
+        const auto found = m_controllers.find(name);
+        return found != m_controllers.end() && found->second.isAlive;
+    }
+
+    /// Links every two processes of which one dials the other and both are up.
+    void connectDialled()
+    {
+        for (const auto& [from, to] : std::set(m_dials)) {
+            const auto link = std::minmax(from, to);
+            if (isUp(from) && isUp(to) && m_links.insert({ link.first, link.second }).second) {
+                happen(from, core::peer_connected { to, "controller" });
+                happen(to, core::peer_connected { from, "controller" });
+            }
+        }
+    }
+
     static void persist(core::replica_loaded& disk, const core::persist_log& write)
     {
         disk.isNew = false;
@@ -311,6 +372,8 @@
     std::map<std::string, fake_controller> m_controllers;
     std::mt19937_64 m_random;
     std::deque<sent_message> m_queue;
+    std::set<std::pair<std::string, std::string>> m_dials; ///< from, to
+    std::set<std::pair<std::string, std::string>> m_links;
     time_point m_now { std::chrono::hours(1) };
     std::uint64_t m_nextRequest = 1;
     core::exchange_id m_nextExchange = 1;
--- a/libs/core/tests/replica_network.cpp
+++ b/libs/core/tests/replica_network.cpp
@@ -51,7 +51,12 @@
         for (const auto& other : network.nodes) {
             names.push_back(other.name);
         }
-        node.process = makeReplica(network.options.settings, 0, node.name, names, node.disk.image,
+        auto settings = network.options.settings;
+        if (network.options.founders != 0) {
+            names.resize(network.options.founders);
+            settings.formsGroup = !node.hasLostDisk;
+        }
+        node.process = makeReplica(settings, 0, node.name, names, node.disk.image,
             localTime(network, node), network.options.guards);
         node.applied = node.disk.image.snapshotIndex;
         node.state.clear();
@@ -356,6 +361,7 @@
     image = {};
     image.isNew = true;
     image.diskIncarnation = incarnation;
+    network.nodes.at(i).hasLostDisk = true;
 }
 
 void cutOff(replica_network& network, std::size_t i, std::chrono::milliseconds span)
--- a/libs/core/tests/replica_network.hpp
+++ b/libs/core/tests/replica_network.hpp
@@ -30,6 +30,7 @@
 
 struct network_options {
     std::size_t size = 3;
+    std::size_t founders = 0; ///< only the first so many nodes form the group, the others join it; 0: all form it
     fault_rates faults;
     safeguards guards;
     bool keepsIncarnation = false; ///< a lost disk comes back under its old incarnation: must show as a violation
@@ -49,6 +50,7 @@
     std::string name;
     double clockRate = 1;
     test_disk disk;
+    bool hasLostDisk = false;
     std::optional<replica> process; ///< nothing while it is down
     key_values state;
     std::uint64_t applied = 0;
--- a/libs/core/tests/test_consensus_histories.cpp
+++ b/libs/core/tests/test_consensus_histories.cpp
@@ -33,6 +33,17 @@
     return rates;
 }
 
+/// Of groups that controllers join and are replaced in, so short that replacements fall among the faults.
+consensus_settings openSettings(std::uint64_t seed)
+{
+    auto settings = smallSettings();
+    settings.admitsOthers = true;
+    settings.voters = seed % 2 == 0 ? 3 : 5;
+    settings.replaceAfter = 700ms;
+    settings.dropLearnerAfter = 1500ms;
+    return settings;
+}
+
 struct history_result {
     std::vector<std::string> violations;
     bool isExpectedToServe = false; ///< no disk was lost beyond what the status allowed
@@ -44,8 +55,10 @@
 
 history_result runHistory(network_options options, std::uint64_t seed)
 {
-    options.size = seed % 5 == 0 ? 5 : 3;
-    options.settings = smallSettings();
+    const bool isOpen = options.founders != 0;
+    options.size = isOpen ? 4 + seed % 3 : seed % 5 == 0 ? 5
+                                                         : 3;
+    options.settings = isOpen ? openSettings(seed) : smallSettings();
     auto network = makeNetwork(options, seed);
     const auto rates = ratesFor(seed);
     if (seed % 3 != 0) {
@@ -89,7 +102,7 @@
 }
 
 /// Runs the seeds in a few threads, since each history is on its own.
-void runHistories(totals& sum, std::uint64_t count)
+void runHistories(totals& sum, const network_options& options, std::uint64_t count)
 {
     constexpr int threadCount = 4;
     std::atomic<std::uint64_t> next { firstSeed };
@@ -98,7 +111,7 @@
     for (int i = 0; i < threadCount; ++i) {
         threads.emplace_back([&] {
             for (auto seed = next++; seed < firstSeed + count; seed = next++) {
-                addTo(sum, seed, runHistory({}, seed));
+                addTo(sum, seed, runHistory(options, seed));
             }
         });
     }
@@ -124,7 +137,7 @@
 {
     constexpr std::uint64_t count = 10000;
     totals sum;
-    runHistories(sum, count);
+    runHistories(sum, {}, count);
     WARN(fmt::format("seeds {} to {}: {} writes acknowledged, {} reads, {} disks lost, {} groups stopped for good, "
                      "{} lost disks and had to serve again",
         firstSeed, firstSeed + count - 1, sum.acknowledged, sum.reads, sum.disksLost, sum.stopped, sum.repaired));
@@ -138,6 +151,24 @@
     CHECK(sum.repaired > 0);
 }
 
+TEST_CASE("histories in which controllers join and are replaced equal a naive map", "[consensus][histories]")
+{
+    constexpr std::uint64_t count = 4000;
+    network_options options;
+    options.founders = 3;
+    totals sum;
+    runHistories(sum, options, count);
+    WARN(fmt::format("seeds {} to {}: {} writes acknowledged, {} reads, {} disks lost, {} groups stopped for good",
+        firstSeed, firstSeed + count - 1, sum.acknowledged, sum.reads, sum.disksLost, sum.stopped));
+    for (const auto& failure : sum.failures) {
+        UNSCOPED_INFO(failure);
+    }
+    CHECK(sum.failures.empty());
+    CHECK(sum.acknowledged > count);
+    CHECK(sum.disksLost > 0);
+    CHECK(sum.repaired > 0);
+}
+
 TEST_CASE("without a safeguard the same histories show its fault", "[consensus][variants]")
 {
     constexpr std::uint64_t tries = 2000;
--- a/libs/wire/include/wire/consensus_messages.hpp
+++ b/libs/wire/include/wire/consensus_messages.hpp
@@ -102,7 +102,8 @@
 /// Answers a join_request.
 struct join_response {
     bool isBlank = false; ///< the answering replica holds no term, vote or log
-    MSGPACK_DEFINE(isBlank)
+    std::vector<std::string> members; ///< replica ids that it knows in the group: one of them may lead
+    MSGPACK_DEFINE(isBlank, members)
 };
 
 /// From a leader that has given up its leadership: the receiver starts an election without waiting for its timeout.
--- a/libs/wire/include/wire/control_messages.hpp
+++ b/libs/wire/include/wire/control_messages.hpp
@@ -115,6 +115,17 @@
         quarantine, routesVersion, routes)
 };
 
+//------------------------------------------------------------------------------------------------------------------
+// Directory of controllers, where settings name only a few of them as seeds
+//------------------------------------------------------------------------------------------------------------------
+
+/// Sent by a controller to each process that connects, and to all connected ones when it changes.
+struct controller_directory {
+    std::uint64_t index = 0; ///< log index of the configuration of group 0 that it shows; a lower one is older
+    std::vector<std::string> controllers; ///< by name, which is the peer address
+    MSGPACK_DEFINE(index, controllers)
+};
+
 //------------------------------------------------------------------------------------------------------------------
 // Announcements, under a lease: one that is not renewed lapses
 //------------------------------------------------------------------------------------------------------------------
