Ask for the configuration every 60 ms until it is there, and tell callers when the controllers are expected

Ruled out: holding the requests until the configuration comes (a caller is told at once what is not served).

Change: the poll is repeated every 60 ms while no configuration or no server is known; a refusal for want of a configuration says when the controllers are expected, 1.5 s from the gateway's start. Test: the gateway asks again after 120 ms (600 before), and advises 1.3 s at an age of 0.2 s (0.25 before).

--- a/libs/core/include/core/forward/forwarder.hpp
+++ b/libs/core/include/core/forward/forwarder.hpp
@@ -82,6 +82,7 @@
     std::set<std::pair<time_point, exchange_id>> rateRetries; ///< calls that ask for a token again then
     program_memory programs;
     std::uint64_t nextUpstream = 1;
+    time_point startedAt {};
     shutdown_phase shutdown = shutdown_phase::Running;
     time_point shutdownStepAt {};
     bool isReady = false;
--- a/libs/core/include/core/forward/forwarder_settings.hpp
+++ b/libs/core/include/core/forward/forwarder_settings.hpp
@@ -14,6 +14,8 @@
 struct forwarder_settings {
     std::vector<controller_client::controller_address> controllers;
     std::chrono::milliseconds configPollInterval { 300 };
+    std::chrono::milliseconds firstPollInterval { 60 }; ///< while no configuration or no server is known
+    std::chrono::milliseconds startUpTime { 1'500 }; ///< from a start of all processes until the controllers answer
     std::chrono::milliseconds controllerTimeout { 1'500 }; ///< a budget or a turn's chain is waited for so long
     std::chrono::milliseconds settleTimeout { 10'000 }; ///< a settlement is resent for so long
     std::chrono::milliseconds ratePatience { 600 }; ///< a request of a program under way waits so long for its account's rate
--- a/libs/core/src/forward/admission.cpp
+++ b/libs/core/src/forward/admission.cpp
@@ -1,5 +1,7 @@
 #include "admission.hpp"
 
+#include <algorithm>
+
 #include <core/forward/match_route.hpp>
 
 #include "answers.hpp"
@@ -20,13 +22,20 @@
         return subject;
     }
 
+    /// A gateway that has just started may have done so together with the controllers, which first elect a leader.
+    std::chrono::milliseconds untilConfigured(const context& c)
+    {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(c.now - c.state.startedAt);
+        return std::max(c.state.settings.startUpTime - age, c.state.settings.retryAdvice);
+    }
+
     /// @return why the request can't be served; nothing where it can.
     std::optional<refusal> findRoute(context& c, forward_call& subject)
     {
         const auto& table = c.state.configuration.table;
         const auto advice = c.state.settings.retryAdvice;
         if (table.version == 0) {
-            return refusal { error_code::Unavailable, "no configuration is known yet", advice };
+            return refusal { error_code::Unavailable, "no configuration is known yet", untilConfigured(c) };
         }
         if (c.state.calls.size() > c.state.settings.maxCalls) {
             return refusal { error_code::Overloaded, "too many requests are under way", advice };
--- a/libs/core/src/forward/configuration.cpp
+++ b/libs/core/src/forward/configuration.cpp
@@ -45,6 +45,13 @@
 
 } // namespace
 
+static std::chrono::milliseconds pollIntervalOf(const context& c)
+{
+    const auto& state = c.state;
+    const bool isComplete = state.configuration.table.version != 0 && !state.servers.servers.empty();
+    return isComplete ? state.settings.configPollInterval : state.settings.firstPollInterval;
+}
+
 void pollConfiguration(context& c)
 {
     const auto& held = c.state.configuration;
@@ -53,15 +60,14 @@
     poll.membershipEpoch = held.membershipEpoch;
     poll.membershipVersion = held.membershipVersion;
     controller_client::pollConfiguration(
-        c.state.controllers, c.state.configuration.poll, poll, c.state.settings.configPollInterval, c.now, c.out);
+        c.state.controllers, c.state.configuration.poll, poll, pollIntervalOf(c), c.now, c.out);
 }
 
 void onConfigUpdate(context& c, const std::string& peer, const wire::config_update& update)
 {
     auto& held = c.state.configuration;
     const auto sentAt = held.poll.sentAt;
-    if (!controller_client::acceptUpdate(
-            c.state.controllers, held.poll, peer, update, c.state.settings.configPollInterval, c.now)) {
+    if (!controller_client::acceptUpdate(c.state.controllers, held.poll, peer, update, pollIntervalOf(c), c.now)) {
         return;
     }
     held.confirmedAt = sentAt;
--- a/libs/core/src/forward/forwarder.cpp
+++ b/libs/core/src/forward/forwarder.cpp
@@ -43,6 +43,7 @@
     {
         auto& state = c.state;
         state.identity.incarnation = started.incarnation;
+        state.startedAt = c.now;
         state.controllers.controllers = state.settings.controllers;
         state.rate = limits::makeLeaseHolder(started.incarnation);
         state.servers.failureDomain = state.identity.failureDomain;
--- a/libs/core/src/forward/forwarder_settings.cpp
+++ b/libs/core/src/forward/forwarder_settings.cpp
@@ -12,6 +12,8 @@
     };
     settings.controllers = controller_client::readControllers(reader);
     span("config_poll_interval_ms", milliseconds(50), settings.configPollInterval);
+    span("first_poll_interval_ms", milliseconds(20), settings.firstPollInterval);
+    span("start_up_time_ms", milliseconds(0), settings.startUpTime);
     span("controller_timeout_ms", milliseconds(100), settings.controllerTimeout);
     span("settle_timeout_ms", milliseconds(100), settings.settleTimeout);
     span("rate_patience_ms", milliseconds(0), settings.ratePatience);
--- a/libs/core/tests/forward_gateway.hpp
+++ b/libs/core/tests/forward_gateway.hpp
@@ -84,7 +84,7 @@
     /// The configuration comes, with servers e1 and e2 of "engines", and s1 and s2 of "shop".
     void configure()
     {
-        pass(state.settings.configPollInterval);
+        pass(state.settings.firstPollInterval);
         wire::config_update update;
         update.request = state.configuration.poll.request;
         update.routesVersion = table.version;
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -5,6 +5,7 @@
 using namespace cuminledge;
 using namespace cuminledge::core;
 using namespace cuminledge::core::forward;
+using namespace std::chrono_literals;
 
 TEST_CASE("A forwarding gateway that knows no configuration says that nothing has run", "[forward]")
 {
@@ -317,3 +318,26 @@
     }
     CHECK(g.state.rateRetries.size() <= g.state.calls.size());
 }
+
+TEST_CASE("a gateway without a configuration asks often, and says when the controllers are expected", "[forward]")
+{
+    forward_gateway gateway;
+    gateway.pass(0ms);
+    const auto first = gateway.state.configuration.poll.request;
+    REQUIRE(first != 0);
+    gateway.pass(120ms);
+    CHECK(gateway.state.configuration.poll.request > first);
+
+    gateway.pass(80ms);
+    gateway.give(gateway.makeRequest("/status/1"));
+    const auto early = gateway.take<refuse_caller>();
+    REQUIRE(early);
+    CHECK(early->code == error_code::Unavailable);
+    CHECK(early->retryAfter == 1'300ms);
+
+    gateway.pass(5s);
+    gateway.give(gateway.makeRequest("/status/2"));
+    const auto late = gateway.take<refuse_caller>();
+    REQUIRE(late);
+    CHECK(late->retryAfter == gateway.state.settings.retryAdvice);
+}
