--- a/libs/core/src/store/snapshot.cpp
+++ b/libs/core/src/store/snapshot.cpp
@@ -335,11 +335,23 @@
     return decode<control_record, control_state>(bytes);
 }
 
+/// Growing by doubling would hold the largest part of a snapshot, the retained turns, up to three times.
+static std::size_t estimatedBytes(const shard_state& state)
+{
+    constexpr std::size_t bytesPerRecord = 256;
+    std::size_t bytes = bytesPerRecord * (state.programs.size() + state.calls.size() + state.budgets.size() + 1);
+    for (const auto& [key, turn] : state.turns) {
+        bytes += bytesPerRecord + turn.text.size();
+    }
+    return bytes;
+}
+
 std::string encodeSnapshot(const shard_state& state)
 {
     const shard_header header { formatVersion, state.lastEndedOrder, state.lastSettledOrder, state.budgetOverruns,
         state.contradictions };
     std::string bytes;
+    bytes.reserve(estimatedBytes(state));
     appendRecord(bytes, shard_record(header));
     for (const auto& [id, p] : state.programs) {
         appendRecord(bytes, shard_record(p));
--- a/libs/host/src/program.cpp
+++ b/libs/host/src/program.cpp
@@ -4,6 +4,8 @@
 #include <iostream>
 #include <sstream>
 
+#include <malloc.h>
+
 #include <cxxopts.hpp>
 
 #include <core/version.hpp>
@@ -69,8 +71,17 @@
 
 } // namespace
 
+/// Large buffers (snapshots, segments of the log) go back to the system when they are freed. Left to itself, malloc takes
+/// them from its heap after the first one, where what lies above keeps their memory.
+static void returnLargeBuffers()
+{
+    constexpr int largeBufferBytes = 1 << 20;
+    mallopt(M_MMAP_THRESHOLD, largeBufferBytes);
+}
+
 int runProgram(process_role role, int argc, char** argv, external_interface interface)
 {
+    returnLargeBuffers();
     auto options = makeOptions("cuminledge-" + std::string(toString(role)), role);
     try {
         const auto arguments = options.parse(argc, argv);
--- a/libs/storage/src/log_store.cpp
+++ b/libs/storage/src/log_store.cpp
@@ -181,10 +181,10 @@
     std::string bytes;
     putNumber(bytes, newIncarnation, numberBytes);
     putNumber(bytes, checksum(bytes, 0), numberBytes);
-    return replaceFile(files, folder, identityName, bytes);
+    return replaceFile(files, folder, identityName, { bytes });
 }
 
-static outcome applyRecord(loaded_replica& loaded, const record& value, const std::string& path)
+static outcome applyRecord(loaded_replica& loaded, record& value, const std::string& path)
 {
     auto& entries = loaded.entries;
     if (const auto* state = std::get_if<hard_state_record>(&value)) {
@@ -193,7 +193,7 @@
         return {};
     }
     const auto* cut = std::get_if<truncate_record>(&value);
-    const auto* entry = std::get_if<wire::log_entry>(&value);
+    auto* entry = std::get_if<wire::log_entry>(&value);
     const std::uint64_t from = cut != nullptr ? cut->from : entry->index;
     while (!entries.empty() && entries.back().index >= from) {
         entries.pop_back();
@@ -206,7 +206,7 @@
         return failure(error_code::Corrupt,
             fmt::format("entry {} in segment {} where {} was expected", entry->index, path, expected), "load_log");
     }
-    entries.push_back(*entry);
+    entries.push_back(std::move(*entry));
     return {};
 }
 
@@ -257,7 +257,7 @@
         if (!content) {
             return tl::unexpected(content.error());
         }
-        const auto segment = readSegment(*content, sequence, path, isLast);
+        auto segment = readSegment(*content, sequence, path, isLast);
         if (!segment) {
             return tl::unexpected(segment.error());
         }
@@ -267,12 +267,13 @@
                 return cut;
             }
         }
-        for (const auto& value : segment->records) {
+        const std::uint64_t highest = highestIndex(segment->records);
+        for (auto& value : segment->records) {
             if (auto applied = applyRecord(loaded, value, path); !applied) {
                 return applied;
             }
         }
-        segments.push_back({ sequence, highestIndex(segment->records) });
+        segments.push_back({ sequence, highest });
         lastSegmentBytes = segment->validBytes;
     }
     return {};
--- a/libs/storage/src/record.cpp
+++ b/libs/storage/src/record.cpp
@@ -1,5 +1,7 @@
 #include "record.hpp"
 
+#include <memory>
+
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -14,6 +16,16 @@
     return XXH64(data.data(), data.size(), seed);
 }
 
+std::uint64_t checksum(std::initializer_list<std::string_view> parts)
+{
+    const std::unique_ptr<XXH64_state_t, XXH_errorcode (*)(XXH64_state_t*)> state(XXH64_createState(), &XXH64_freeState);
+    XXH64_reset(state.get(), 0);
+    for (const auto part : parts) {
+        XXH64_update(state.get(), part.data(), part.size());
+    }
+    return XXH64_digest(state.get());
+}
+
 void putNumber(std::string& bytes, std::uint64_t value, std::size_t width)
 {
     for (std::size_t i = 0; i < width; ++i) {
--- a/libs/storage/src/record.hpp
+++ b/libs/storage/src/record.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -57,6 +58,9 @@
 /// @return xxh64 of the data.
 std::uint64_t checksum(std::string_view data, std::uint64_t seed);
 
+/// @return the checksum, under the seed 0, of the pieces one behind the other.
+std::uint64_t checksum(std::initializer_list<std::string_view> parts);
+
 void putNumber(std::string& bytes, std::uint64_t value, std::size_t width);
 std::uint64_t getNumber(std::string_view bytes, std::size_t offset, std::size_t width);
 
--- a/libs/storage/src/snapshot_file.cpp
+++ b/libs/storage/src/snapshot_file.cpp
@@ -1,6 +1,6 @@
 #include "snapshot_file.hpp"
 
-#include <algorithm>
+#include <utility>
 
 #include "record.hpp"
 
@@ -22,7 +22,8 @@
 
 } // namespace
 
-outcome replaceFile(file_system& files, const std::string& folder, const std::string& name, const std::string& content)
+outcome replaceFile(file_system& files, const std::string& folder, const std::string& name,
+    std::initializer_list<std::string_view> parts)
 {
     const std::string path = folder + "/" + name;
     const std::string temporary = path + ".tmp";
@@ -33,9 +34,13 @@
     if (!file) {
         return tl::unexpected(file.error());
     }
+    for (const auto part : parts) {
+        if (auto appended = (*file)->append(part); !appended) {
+            return appended;
+        }
+    }
     return (*file)
-        ->append(content)
-        .and_then([&](auto) { return (*file)->sync(); })
+        ->sync()
         .and_then([&](auto) { return files.rename(temporary, path); })
         .and_then([&](auto) { return files.syncFolder(folder); });
 }
@@ -45,13 +50,11 @@
     const snapshot_description description { request.snapshotIndex, request.snapshotTerm,
         request.snapshotConfiguration, request.snapshot.size() };
     const std::string described = wire::encodeStruct(description);
-    std::string body;
-    putNumber(body, described.size(), numberBytes);
-    body += described;
-    body += request.snapshot;
-    std::string content;
-    putNumber(content, checksum(body, 0), numberBytes);
-    return replaceFile(files, folder, snapshotName, content + body);
+    std::string length;
+    putNumber(length, described.size(), numberBytes);
+    std::string sum;
+    putNumber(sum, checksum({ length, described, request.snapshot }), numberBytes);
+    return replaceFile(files, folder, snapshotName, { sum, length, described, request.snapshot });
 }
 
 static tl::unexpected<error> damaged(const std::string& path)
@@ -82,7 +85,8 @@
     loaded.snapshotIndex = description->index;
     loaded.snapshotTerm = description->term;
     loaded.snapshotConfiguration = std::move(description->configuration);
-    loaded.snapshot = view.substr(headBytes + length);
+    content->erase(0, headBytes + length); // in place: a copy would double the memory that a start takes
+    loaded.snapshot = std::move(*content);
     return {};
 }
 
--- a/libs/storage/src/snapshot_file.hpp
+++ b/libs/storage/src/snapshot_file.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <initializer_list>
 #include <string>
+#include <string_view>
 
 #include <storage/file_system.hpp>
 #include <storage/log_store.hpp>
@@ -8,7 +10,9 @@
 namespace cuminledge::storage {
 
 /// Writes a file so that a crash leaves the old content or the new one: temporary file, sync, rename, sync of the folder.
-outcome replaceFile(file_system& files, const std::string& folder, const std::string& name, const std::string& content);
+/// @param parts the content in pieces, so that a large one need not be copied into one string.
+outcome replaceFile(file_system& files, const std::string& folder, const std::string& name,
+    std::initializer_list<std::string_view> parts);
 
 /// Replaces the group's snapshot by the one in the request.
 outcome writeSnapshot(file_system& files, const std::string& folder, const write_request& request);
--- a/libs/storage/tests/memory_files.cpp
+++ b/libs/storage/tests/memory_files.cpp
@@ -24,6 +24,7 @@
             if (!m_files.takeCall()) {
                 return ended();
             }
+            m_files.appendedFrom.insert(bytes.data());
             const std::size_t count = std::min(bytes.size(), m_files.freeBytes.value_or(bytes.size()));
             m_file->content += bytes.substr(0, count);
             if (m_files.freeBytes) {
--- a/libs/storage/tests/memory_files.hpp
+++ b/libs/storage/tests/memory_files.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include <storage/file_system.hpp>
@@ -42,6 +43,7 @@
     std::optional<int> callsLeft; ///< after so many changing calls, each one fails: a crash within an operation
     bool failSyncs = false;
     int syncCalls = 0;
+    std::set<const char*> appendedFrom; ///< where the bytes of each append lay in memory
 
 private:
     directory m_durable;
--- a/libs/storage/tests/test_log_store.cpp
+++ b/libs/storage/tests/test_log_store.cpp
@@ -6,6 +6,8 @@
 
 #include <filesystem>
 
+#include "memory_files.hpp"
+
 using namespace cuminledge;
 using namespace cuminledge::storage;
 
@@ -25,6 +27,22 @@
 
 } // namespace
 
+TEST_CASE("a snapshot is written without being copied first", "[storage]")
+{
+    test::memory_files files;
+    auto opened = openStore(files, "data", 0, 42);
+    REQUIRE(opened);
+    write_request request;
+    request.hasSnapshot = true;
+    request.snapshotIndex = 1;
+    request.snapshot = std::string(1000, 's');
+    REQUIRE(opened->store->write(request));
+    CHECK(files.appendedFrom.contains(request.snapshot.data()));
+    const auto again = openStore(files, "data", 0, 43);
+    REQUIRE(again);
+    CHECK(again->loaded.snapshot == request.snapshot);
+}
+
 TEST_CASE("a store on the machine's files gives back what was synced", "[storage]")
 {
     posix_files files;
