--- a/libs/core/src/controller/directory.cpp
+++ b/libs/core/src/controller/directory.cpp
@@ -45,6 +45,9 @@
             if (!stays) {
                 log(r, log_level::Info, "controller_forgotten", { { "peer", member.name } });
                 r.out.emplace_back(disconnect_peer { member.name });
+                for (auto& [number, group] : r.state.groups) {
+                    group.replica.contacts.erase(member.name);
+                }
             }
             return !stays;
         });
@@ -115,13 +118,14 @@
         return;
     }
     const auto names = controllersOf(consensus::configurationOf(group.replica));
+    const auto index = group.replica.configurations.back().index;
     if (group.group != systemGroup) {
         for (const auto& name : names) {
             learnController(r, name);
         }
-        return;
+    } else if (index >= r.state.directory.index) {
+        adopt(r, index, names); // while catching up, the log may be behind what another controller has told
     }
-    adopt(r, group.replica.configurations.back().index, names);
 }
 
 void receiveDirectory(reduction& r, const wire::controller_directory& update)
--- a/libs/core/src/forward/forwarder.cpp
+++ b/libs/core/src/forward/forwarder.cpp
@@ -26,7 +26,9 @@
         }
         void operator()(const wire::controller_directory& m) const
         {
-            controller_client::takeDirectory(c.state.controllers, m, c.out);
+            if (controller_client::isController(c.state.controllers, peer)) {
+                controller_client::takeDirectory(c.state.controllers, m, c.out);
+            }
         }
         void operator()(const wire::config_update& m) const { onConfigUpdate(c, peer, m); }
         void operator()(const wire::rate_lease_grant& m) const { onRateGrant(c, peer, m); }
--- a/libs/core/tests/test_controller_directory.cpp
+++ b/libs/core/tests/test_controller_directory.cpp
@@ -185,3 +185,45 @@
     CHECK(second->index > first->index);
     CHECK(std::count(second->controllers.begin(), second->controllers.end(), "10.0.0.4:7") == 1);
 }
+
+TEST_CASE("an older directory does not replace a newer one", "[controller][directory]")
+{
+    controller_cluster cluster(seedNames, seededSettings(), 7);
+    cluster.advance(1s);
+    auto& state = cluster.stateOf(seedNames[0]);
+    cluster.happen(seedNames[0], core::peer_message { seedNames[1], 1, wire::controller_directory { 900, { "10.0.0.8:7" } } });
+    REQUIRE(findController(state.directory, "10.0.0.8:7") != nullptr);
+    cluster.happen(seedNames[0], core::peer_message { seedNames[1], 1, wire::controller_directory { 800, { "10.0.0.9:7" } } });
+    CHECK(findController(state.directory, "10.0.0.9:7") == nullptr);
+    // A configuration that this controller applies late is older, too.
+    cluster.add("10.0.0.4:7", joiningSettings());
+    cluster.advance(1s);
+    CHECK(state.directory.index == 900);
+    CHECK(findController(state.directory, "10.0.0.8:7") != nullptr);
+}
+
+TEST_CASE("only controllers are believed about controllers", "[controller][directory]")
+{
+    controller_cluster cluster(seedNames, seededSettings(), 8);
+    cluster.advance(1s);
+    cluster.happen(seedNames[0], core::peer_connected { "gw", "gateway" });
+    cluster.happen(seedNames[0], core::peer_message { "gw", 1, wire::controller_directory { 900, { "10.0.0.8:7" } } });
+    CHECK(findController(cluster.stateOf(seedNames[0]).directory, "10.0.0.8:7") == nullptr);
+}
+
+TEST_CASE("settings with seeds say who votes and who may form a group", "[controller][directory]")
+{
+    const auto document = parseJson(
+        R"({"seeds": ["10.0.0.1:8"], "peer_port": 7, "bootstrap": false, "tolerated_losses": 3, "hosts_groups": false})",
+        "test");
+    REQUIRE(document);
+    std::vector<json_fault> faults;
+    json_object_reader reader(*document, "$.controller", faults);
+    const auto settings = core::controller::readSettings(reader);
+    CHECK(faults.empty());
+    CHECK(settings.controllers.front().name == "10.0.0.1:7");
+    CHECK(settings.consensus.admitsOthers);
+    CHECK_FALSE(settings.consensus.formsGroup);
+    CHECK(settings.consensus.voters == 7);
+    CHECK_FALSE(settings.hostsGroups);
+}
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -341,3 +341,24 @@
     REQUIRE(late);
     CHECK(late->retryAfter == gateway.state.settings.retryAdvice);
 }
+
+TEST_CASE("a gateway follows the directory of controllers", "[forward]")
+{
+    forward_gateway gateway;
+    auto& client = gateway.state.controllers;
+    gateway.give(peer_message { "c1", 1, wire::controller_directory { 5, { "c1", "10.0.0.2:7", "10.0.0.3:7" } } });
+    CHECK(client.controllers.size() == 3);
+    REQUIRE(gateway.take<connect_peer>());
+    gateway.give(peer_connected { "10.0.0.3:7", "controller", 1 });
+    client.leaders[0] = "10.0.0.3:7";
+
+    gateway.give(peer_message { "c1", 1, wire::controller_directory { 4, { "c1" } } });
+    CHECK(client.controllers.size() == 3);
+    // A seed stays, even where it is no controller any more: the settings name it.
+    gateway.give(peer_message { "c1", 1, wire::controller_directory { 6, { "10.0.0.2:7" } } });
+    CHECK(client.controllers.size() == 2);
+    const auto left = gateway.take<disconnect_peer>();
+    REQUIRE(left);
+    CHECK(left->peer == "10.0.0.3:7");
+    CHECK_FALSE(client.leaders.contains(0));
+}
