Promote the replacement of a silent voter before removing it

Change: a learner that has caught up becomes a voter first, and the silent voter is removed by the next change. A replica whose disk is known to be lost is removed first, as before.

The new test saw two voters without the change, and sees three.

--- a/libs/core/src/consensus/membership.cpp
+++ b/libs/core/src/consensus/membership.cpp
@@ -242,9 +242,11 @@
     return caughtUp || !r.guards.promoteOnlyCaughtUp;
 }
 
-/// Removes a silent voter; a learner is promoted by a later change, as in promote().
-/// @return whether a voter was removed.
-static bool removeSilentVoter(replica& r, time_point now, replica_output& out)
+/// Takes the next step of replacing a silent voter. The learner is promoted first: the silent voter may only be slow, and
+/// while it counts, the group survives the loss of another one between the two changes.
+/// @param ready learners that have caught up. @return whether a change was made.
+static bool replaceSilentVoter(
+    replica& r, const std::vector<std::string>& ready, time_point now, replica_output& out)
 {
     wire::group_configuration next = configurationOf(r);
     const auto silent = std::find_if(next.members.begin(), next.members.end(),
@@ -252,8 +254,17 @@
     if (silent == next.members.end()) {
         return false;
     }
-    next.members.erase(silent);
-    proposeConfiguration(r, next, now, out);
+    const bool hasReplacement = r.settings.voters == 0 ? !ready.empty()
+                                                       : next.members.size() > r.settings.voters || next.members.size() % 2 == 0;
+    if (hasReplacement) {
+        next.members.erase(silent);
+        proposeConfiguration(r, next, now, out);
+        return true;
+    }
+    if (ready.empty()) {
+        return false;
+    }
+    promote(r, ready.front(), now, out);
     return true;
 }
 
@@ -286,7 +297,7 @@
             return;
         }
     }
-    if (!ready.empty() && removeSilentVoter(r, now, out)) {
+    if (replaceSilentVoter(r, ready, now, out)) {
         return;
     }
     if (r.settings.admitsOthers) {
--- a/libs/core/tests/test_consensus_faults.cpp
+++ b/libs/core/tests/test_consensus_faults.cpp
@@ -353,3 +353,78 @@
     writeMany(network, 5);
     CHECK(network.observed.violations.empty());
 }
+
+namespace {
+
+std::size_t fewestVoters(const replica_network& network)
+{
+    std::size_t fewest = network.nodes.size();
+    for (const auto& node : network.nodes) {
+        const auto count = node.process ? configurationOf(*node.process).members.size() : 0;
+        fewest = count == 0 ? fewest : std::min(fewest, count);
+    }
+    return fewest;
+}
+
+bool isSendingState(const replica_network& network)
+{
+    return std::any_of(network.nodes.begin(), network.nodes.end(),
+        [](const test_node& node) { return node.process && node.process->outgoing.index != 0; });
+}
+
+} // namespace
+
+TEST_CASE("a silent voter is replaced without the group having fewer voters meanwhile", "[consensus]")
+{
+    // A voter that was only slow counted for nothing between its removal and the learner's promotion: the loss of
+    // another one in between stopped the group.
+    network_options options;
+    options.size = 5;
+    options.initialMemberCount = 3;
+    options.settings = smallLimitSettings();
+    options.settings.admitsOthers = true;
+    options.settings.voters = 3;
+    options.settings.voterReplacementTimeout = 700ms;
+    auto network = runningGroup(1, options);
+    const auto leader = readableLeader(network);
+    const auto members = configurationOf(*network.nodes[leader].process).members;
+    REQUIRE(members.size() == 3);
+    std::size_t voter = 0;
+    while (voter == leader || std::find(members.begin(), members.end(), network.nodes[voter].process->id) == members.end()) {
+        ++voter;
+    }
+    const auto silent = network.nodes[voter].process->id;
+    isolate(network, voter, 3000ms);
+    std::size_t fewest = network.nodes.size();
+    for (auto passed = 0ms; passed < 2500ms; passed += 5ms) {
+        run(network, 5ms, {}, false);
+        fewest = std::min(fewest, fewestVoters(network));
+    }
+    CHECK(fewest == 3);
+    const auto after = configurationOf(*network.nodes[readableLeader(network)].process).members;
+    CHECK(after.size() == 3);
+    CHECK(std::find(after.begin(), after.end(), silent) == after.end());
+}
+
+TEST_CASE("the whole state is in memory a second time only while a follower receives it", "[consensus]")
+{
+    network_options options;
+    options.settings = smallLimitSettings();
+    auto network = runningGroup(1, options);
+    const auto leader = readableLeader(network);
+    const std::size_t follower = leader == 0 ? 1 : 0;
+    isolate(network, follower, 60'000ms);
+    writeMany(network, 200);
+    run(network, 3000ms, {}, false);
+    CHECK_FALSE(isSendingState(network)); // not for a follower that does not answer
+    heal(network);
+    bool wasSent = false;
+    for (auto passed = 0ms; passed < 5000ms; passed += 5ms) {
+        run(network, 5ms, {}, false);
+        wasSent = wasSent || isSendingState(network);
+    }
+    CHECK(wasSent);
+    CHECK_FALSE(isSendingState(network));
+    CHECK(network.nodes[follower].state == network.nodes[leader].state);
+    CHECK(network.nodes[follower].process->counters.snapshotsInstalled > 0);
+}
