Bound the lines of an answer's body, and pass over informational heads

Cause, found by a server that answers with bytes that never end: the parser bounds the head, but neither a chunk size, a chunk extension nor a trailer; such a line gathered in memory until the server stopped (64 MiB in the test), where a gateway's machine has 88 MB. A head of status 1xx counted as the whole answer: the caller got status 100, and the answer itself arrived on a connection without a request.

Ruled out: endless status lines, headers, bodies, chunks, events, comment lines, and bytes behind a complete answer; these were bounded before, as the other sections of the new test show.

Change: what the parser leaves behind is bounded like a head (16 KiB), and informational heads are passed over, eight at the most.

--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -56,6 +56,15 @@
         return head;
     }
 
+    /// @return whether the parser has read a head of status 1xx, which precedes the answer. 101 ends the protocol, which
+    /// no request asks for, so it is treated as an answer.
+    bool isInformational(const http::response_parser<http::string_body>& parser)
+    {
+        constexpr unsigned switchingProtocols = 101;
+        const auto status = parser.is_header_done() ? parser.get().result_int() : 0U;
+        return status >= 100 && status < 200 && status != switchingProtocols;
+    }
+
     /// @return the timeout of the Keep-Alive header; 0: it has none.
     std::chrono::milliseconds statedIdleTimeout(const http::fields& fields)
     {
@@ -101,11 +110,8 @@
     m_responded = false;
     m_phase = request_phase::NotSent;
     m_events.reset();
-    auto& parser = m_parser->parser.emplace();
-    parser.eager(true);
-    parser.header_limit(static_cast<std::uint32_t>(m_owner->settings().maxHeaderBytes));
-    parser.body_limit(m_owner->settings().maxBodyBytes);
-    parser.skip(m_request.method == "HEAD");
+    m_informationalHeads = 0;
+    expectHead();
     m_sending = requestText(m_request);
     m_sent = 0;
     m_request.body.clear();
@@ -117,6 +123,15 @@
     }
 }
 
+void client_connection::expectHead()
+{
+    auto& parser = m_parser->parser.emplace();
+    parser.eager(true);
+    parser.header_limit(static_cast<std::uint32_t>(m_owner->settings().maxHeaderBytes));
+    parser.body_limit(m_owner->settings().maxBodyBytes);
+    parser.skip(m_request.method == "HEAD");
+}
+
 bool client_connection::isOpen()
 {
     char byte = 0;
@@ -247,14 +262,19 @@
     const auto copied = boost::asio::buffer_copy(
         buffer.prepare(bytes.size()), boost::asio::const_buffer(bytes.data(), bytes.size()));
     buffer.commit(copied);
-    auto& parser = *m_parser->parser;
-    while (buffer.size() != 0 && !parser.is_done()) {
+    while (buffer.size() != 0 && !m_parser->parser->is_done()) {
         boost::system::error_code problem;
-        buffer.consume(parser.put(buffer.data(), problem));
+        buffer.consume(m_parser->parser->put(buffer.data(), problem));
         if (problem && problem != http::error::need_more) {
             fail("not a valid answer: " + problem.message());
             return false;
         }
+        if (isInformational(*m_parser->parser)) {
+            if (!skipInformationalHead()) {
+                return false;
+            }
+            continue;
+        }
         if (!deliverBody()) {
             return false;
         }
@@ -262,6 +282,24 @@
             break;
         }
     }
+    // The parser takes bodies as they come, so what it leaves is the start of a line, which it bounds only in the head.
+    if (buffer.size() > m_owner->settings().maxHeaderBytes && !m_parser->parser->is_done()) {
+        fail("a line of the answer over its size limit");
+        return false;
+    }
+    return true;
+}
+
+/// Goes on to the next head. A server may announce its answer any number of times, so they are counted.
+/// @return whether the connection goes on.
+bool client_connection::skipInformationalHead()
+{
+    constexpr int maxInformationalHeads = 8;
+    if (++m_informationalHeads > maxInformationalHeads) {
+        fail("too many informational heads before the answer");
+        return false;
+    }
+    expectHead();
     return true;
 }
 
--- a/libs/net/src/client_connection.hpp
+++ b/libs/net/src/client_connection.hpp
@@ -67,6 +67,8 @@
     void onBytes(std::string_view bytes);
     /// @param isOrderly the server has closed its side, rather than that the connection broke.
     void onEnd(const std::string& reason, bool isOrderly);
+    void expectHead();
+    bool skipInformationalHead();
     bool parse(std::string_view bytes);
     bool deliverBody();
     void finish();
@@ -90,6 +92,7 @@
     std::chrono::milliseconds m_idleTimeout { 0 }; ///< that the server states for unused connections; 0: none
     bool m_connected = false;
     bool m_busy = false;
+    int m_informationalHeads = 0; ///< of the answer under way
     bool m_responded = false;
     bool m_closed = false;
 };
