--- a/libs/storage/src/snapshot_file.cpp
+++ b/libs/storage/src/snapshot_file.cpp
@@ -95,7 +95,7 @@
         if (!isPiece || kept.contains(name)) {
             continue;
         }
-        if (auto removed = files.remove(folder + "/" + name); !removed) {
+        if (auto removed = files.remove(fmt::format("{}/{}", folder, name)); !removed) {
             return removed;
         }
     }
