--- a/libs/host/src/process.cpp
+++ b/libs/host/src/process.cpp
@@ -107,6 +107,17 @@
         return peers;
     }
 
+    void logListener(const char* listener, const net::http_server_counts& counts)
+    {
+        logEvent(log_level::Info, "listener_stopped",
+            { { "listener", listener }, { "connections", std::to_string(counts.connections) },
+                { "exchanges", std::to_string(counts.exchanges) },
+                { "unsent_bytes", std::to_string(counts.sendBufferBytes) },
+                { "requests", std::to_string(counts.requests) }, { "cut_unread", std::to_string(counts.cutUnread) },
+                { "cut_reading", std::to_string(counts.cutReading) },
+                { "cut_answering", std::to_string(counts.cutAnswering) } });
+    }
+
     Json::Value describeServer(const net::http_server_counts& counts)
     {
         Json::Value server(Json::objectValue);
@@ -578,6 +589,12 @@
 void process::impl::carryOut(const core::stop_process& e)
 {
     m_exitCode = e.exitCode;
+    if (m_callers) {
+        logListener("callers", m_callers->counts());
+    }
+    if (m_control) {
+        logListener("control", m_control->counts());
+    }
     m_context.stop();
 }
 
--- a/libs/net/include/net/http_server.hpp
+++ b/libs/net/include/net/http_server.hpp
@@ -53,6 +53,9 @@
     std::uint64_t gone = 0;
     std::uint64_t slowReaders = 0; ///< closed at maxSendBufferBytes or writeTimeout
     std::uint64_t timeouts = 0; ///< closed at readTimeout or idleTimeout
+    std::uint64_t cutUnread = 0; ///< closed by this side with bytes of a caller unread
+    std::uint64_t cutReading = 0; ///< closed by this side with part of a request read
+    std::uint64_t cutAnswering = 0; ///< closed by this side with a request under way or bytes of its answer unsent
 };
 
 /**
--- a/libs/net/src/http_session.cpp
+++ b/libs/net/src/http_session.cpp
@@ -498,6 +498,7 @@
         return;
     }
     const auto self = shared_from_this();
+    countCut();
     boost::system::error_code ignored;
     m_socket.close(ignored);
     m_deadline.cancel();
@@ -508,6 +509,17 @@
     }
 }
 
+/// Counts what a close of this side takes from the caller.
+void http_session::countCut()
+{
+    auto& tally = m_owner->tally();
+    boost::system::error_code problem;
+    const auto unread = m_phase == phase::Lingering ? 0 : m_socket.available(problem);
+    tally.cutUnread += !problem && unread != 0 ? 1 : 0;
+    tally.cutReading += m_phase == phase::Reading ? 1 : 0;
+    tally.cutAnswering += m_phase == phase::Answering ? 1 : 0;
+}
+
 void http_session::setDeadline(std::chrono::milliseconds timeout)
 {
     m_deadline.expires_after(timeout);
--- a/libs/net/src/http_session.hpp
+++ b/libs/net/src/http_session.hpp
@@ -103,6 +103,7 @@
     void onAllWritten();
     void beginLinger();
 
+    void countCut();
     void setDeadline(std::chrono::milliseconds timeout);
     void onDeadline();
 
