Keep a connection open behind an answer that said so

Cause: the head of an answer says whether the connection stays open. The decision was made once more at the answer's end. For a stream that began before SIGTERM, the head said keep-alive, and the connection was closed behind the stream all the same: what the caller sent next, at once as programs do after a turn, was read and dropped while the connection lingered. The same held for the connections of a withdrawn key. The class: a promise made on the wire, and state that is looked at again after it.

The counts at the listener (event=listener_stopped) had ruled out what the stop itself cuts: no connection held a request, unread bytes or an answer at any of 58 stops. The test fails on the code before in its three cases (shutdown, closed listener, withdrawn key): no byte of an answer.

Why it works: closing holds from the next answer on, whose head can say so. A connection without a next request closes after the drain time, as other idle ones do.

--- a/libs/net/src/http_session.cpp
+++ b/libs/net/src/http_session.cpp
@@ -225,9 +225,12 @@
 // Answers
 //------------------------------------------------------------------------------------------------------------------
 
-bool http_session::keepsAlive() const
+/// Decides whether the connection stays open behind the answer whose head is made now. The head tells the caller, who
+/// may send its next request at once, so a later decision to close only holds from the next answer on.
+bool http_session::decideKeepAlive()
 {
-    return m_parser->keepAlive && !m_closeAfterAnswer && !m_owner->announcesClosing();
+    m_closeAfterAnswer = !m_parser->keepAlive || m_announcesClosing || m_owner->announcesClosing();
+    return !m_closeAfterAnswer;
 }
 
 void http_session::reply(const http_reply& reply)
@@ -242,7 +245,7 @@
     if (hasBody) {
         response.content_length(reply.body.size());
     }
-    response.keep_alive(keepsAlive());
+    response.keep_alive(decideKeepAlive());
     std::string text = headerText(response);
     if (hasBody && !m_headRequest) {
         text += reply.body;
@@ -265,7 +268,7 @@
     response.set(http::field::cache_control, "no-cache");
     setFields(response, headers);
     response.chunked(m_chunked);
-    response.keep_alive(keepsAlive());
+    response.keep_alive(decideKeepAlive());
     m_streaming = true;
     queue(headerText(response));
 }
@@ -326,7 +329,7 @@
     } else if (hasBody && length >= 0) {
         response.content_length(static_cast<std::uint64_t>(length));
     }
-    response.keep_alive(keepsAlive());
+    response.keep_alive(decideKeepAlive());
     m_streaming = true;
     queue(headerText(response));
 }
@@ -372,7 +375,6 @@
 /// The owner has nothing more to say on this exchange; the next request is read once the answer is sent.
 void http_session::finishAnswer()
 {
-    m_closeAfterAnswer = !keepsAlive();
     if (m_exchange != 0) {
         m_owner->endExchange(std::exchange(m_exchange, 0));
     }
@@ -390,7 +392,8 @@
     parser.eager(true);
     parser.header_limit(static_cast<std::uint32_t>(m_owner->settings().maxHeaderBytes));
     parser.body_limit(m_owner->settings().maxBodyBytes);
-    setDeadline(m_owner->draining() ? m_owner->settings().drainIdleTime : m_owner->settings().idleTimeout);
+    const bool closesSoon = m_owner->draining() || m_announcesClosing;
+    setDeadline(closesSoon ? m_owner->settings().drainIdleTime : m_owner->settings().idleTimeout);
 }
 
 //------------------------------------------------------------------------------------------------------------------
@@ -479,7 +482,7 @@
 
 void http_session::closeAfterAnswer()
 {
-    m_closeAfterAnswer = true;
+    m_announcesClosing = true;
     if (m_phase == phase::Idle) {
         close();
     }
--- a/libs/net/src/http_session.hpp
+++ b/libs/net/src/http_session.hpp
@@ -64,7 +64,8 @@
     [[nodiscard]] const std::string& tag() const { return m_tag; }
     [[nodiscard]] std::size_t sendBufferBytes() const { return m_queued.size() + m_sending.size() - m_sent; }
 
-    /// Closes now if no request is under way or partly read, else after its answer.
+    /// Closes now if no request is under way or partly read, else behind the next answer that can say so, or after the
+    /// drain time.
     void closeAfterAnswer();
 
     /// Closes after the drain time if no request comes by then, else after its answer.
@@ -94,7 +95,7 @@
     void refuseBroken(const boost::system::error_code& problem);
     void refuse(std::uint32_t status, const std::string& code, const std::string& detail);
 
-    [[nodiscard]] bool keepsAlive() const;
+    bool decideKeepAlive();
     void finishAnswer();
     void nextRequest();
     void queue(std::string_view bytes);
@@ -122,7 +123,8 @@
     bool m_writePending = false;
     bool m_parsing = false;
     bool m_closed = false;
-    bool m_closeAfterAnswer = false;
+    bool m_closeAfterAnswer = false; ///< as the answer's head says
+    bool m_announcesClosing = false; ///< answers from now on say "Connection: close"
     bool m_streaming = false;
     bool m_chunked = true;
     std::int64_t m_bodyLeft = -1; ///< bytes of the answer's body still to come; -1: its length is not stated
--- a/libs/net/tests/test_http_server.cpp
+++ b/libs/net/tests/test_http_server.cpp
@@ -269,6 +269,37 @@
     CHECK_THROWS(raw_client(fixture.port));
 }
 
+// Guards against closing behind an answer that said keep-alive: the caller's next request was read and dropped.
+TEST_CASE("a connection that an answer called open takes the next request, also when closing was announced meanwhile")
+{
+    server_fixture fixture;
+    raw_client client(fixture.port);
+    client.send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    const auto exchange = fixture.waitHeld(1);
+    fixture.thread.call([&] {
+        fixture.server->tagConnection(exchange, "key");
+        fixture.server->beginStream(exchange, {});
+    });
+    SECTION("by a shutdown")
+    {
+        fixture.thread.call([&] { fixture.server->announceClosing(); });
+    }
+    SECTION("by the end of the listener")
+    {
+        fixture.thread.call([&] { fixture.server->closeListener(); });
+    }
+    SECTION("for the connections of a key")
+    {
+        fixture.thread.call([&] { fixture.server->closeTagged("key"); });
+    }
+    fixture.thread.call([&] { fixture.server->endStream(exchange); });
+    client.readUntil("\r\n0\r\n\r\n");
+    client.send(get);
+    const auto answer = client.readAll();
+    CHECK(answer.find(" 200 ") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE("half a request does not hold its connection for ever")
 {
     http_server_settings settings;
