Look for an unread request before an idle connection is closed

Callers would see: a request on a kept connection is reset without an answer, if it arrives as the connection's idle timeout passes in a process that is busy. Closing with unread bytes makes the kernel send a reset.

Cause: the idle timeout, the drain timeout and the withdrawal of a key close an idle connection without a look at its receive buffer. The class: a timer that acts on what was read, not on what has arrived.

Evidence: the test holds up the event loop past the timeouts of 40 connections, whose requests arrive then: all 40 were closed with unread bytes (cut_unread), none is now. The case in which the request is read first, and the timeout follows in the same turn, was tried too and is sound: the read sets the deadline anew.

--- a/libs/net/src/http_session.cpp
+++ b/libs/net/src/http_session.cpp
@@ -484,10 +484,21 @@
 {
     m_announcesClosing = true;
     if (m_phase == phase::Idle) {
-        close();
+        closeIdle();
     }
 }
 
+/// Closes the connection, unless a request has arrived that isn't read yet.
+void http_session::closeIdle()
+{
+    boost::system::error_code problem;
+    if (m_socket.available(problem) != 0 && !problem) {
+        onReadable();
+        return;
+    }
+    close("idle");
+}
+
 void http_session::drain()
 {
     if (m_phase == phase::Idle) {
@@ -538,6 +549,11 @@
     if (m_deadline.expiry() > std::chrono::steady_clock::now()) {
         return; // set anew while this expiry was on its way
     }
+    if (m_phase == phase::Idle) {
+        ++m_owner->tally().timeouts;
+        closeIdle();
+        return;
+    }
     if (m_writePending) {
         ++m_owner->tally().slowReaders;
     } else if (m_phase != phase::Lingering) {
--- a/libs/net/src/http_session.hpp
+++ b/libs/net/src/http_session.hpp
@@ -104,6 +104,7 @@
     void onAllWritten();
     void beginLinger();
 
+    void closeIdle();
     void countCut();
     void setDeadline(std::chrono::milliseconds timeout);
     void onDeadline();
--- a/libs/net/tests/test_http_server.cpp
+++ b/libs/net/tests/test_http_server.cpp
@@ -1,5 +1,6 @@
 #include <net/http_server.hpp>
 
+#include <memory>
 #include <optional>
 #include <random>
 
@@ -22,8 +23,17 @@
     std::vector<std::pair<std::uint64_t, std::string>> gone;
     std::optional<http_server> server;
     std::uint16_t port = 0;
+    std::chrono::milliseconds drainIdleTime;
+
+    static http_server_settings shortDrain()
+    {
+        http_server_settings settings;
+        settings.drainIdleTime = std::chrono::milliseconds(40);
+        return settings;
+    }
 
     explicit server_fixture(http_server_settings settings = {})
+        : drainIdleTime(settings.drainIdleTime)
     {
         settings.address = "127.0.0.1:0";
         settings.listener = 3;
@@ -300,6 +310,59 @@
     CHECK(answer.find("Connection: close") != std::string::npos);
 }
 
+namespace {
+
+/// Sends on a connection whose idle timeout passes before the server can read, as on a busy VM.
+void sendAsIdleTimeoutPasses(server_fixture& fixture, raw_client& client, const std::string& request)
+{
+    REQUIRE(fixture.thread.waitFor([&] { return fixture.server->counts().connections == 1; }));
+    fixture.thread.call([&] { fixture.server->closeListener(); });
+    fixture.thread.call([&] {
+        std::this_thread::sleep_for(2 * fixture.drainIdleTime);
+        client.send(request);
+    });
+}
+
+} // namespace
+
+// Guards against an idle timeout that ends the request which was read in the same turn of the event loop.
+TEST_CASE("a request that is read as the idle timeout passes is answered")
+{
+    server_fixture fixture(server_fixture::shortDrain());
+    raw_client client(fixture.port);
+    sendAsIdleTimeoutPasses(fixture, client, "GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    const auto exchange = fixture.waitHeld(1);
+    fixture.thread.call([&] { fixture.server->reply(exchange, { 200, "text/plain", {}, "late" }); });
+    CHECK(client.readAll().find("late") != std::string::npos);
+    CHECK(fixture.thread.call([&] { return fixture.gone.size(); }) == 0);
+}
+
+// Guards against an idle timeout that closes a connection whose request is not read yet.
+TEST_CASE("an idle timeout looks for a request that has arrived")
+{
+    server_fixture fixture(server_fixture::shortDrain());
+    std::vector<std::unique_ptr<raw_client>> clients;
+    constexpr std::size_t count = 40;
+    for (std::size_t i = 0; i < count; ++i) {
+        clients.push_back(std::make_unique<raw_client>(fixture.port));
+    }
+    REQUIRE(fixture.thread.waitFor([&] { return fixture.server->counts().connections == count; }));
+    fixture.thread.call([&] {
+        fixture.server->closeListener();
+        // All timeouts pass while this handler runs. The requests come after the event loop has collected them.
+        std::this_thread::sleep_for(2 * fixture.drainIdleTime);
+        for (std::size_t i = 0; i < count; ++i) {
+            boost::asio::post(fixture.thread.context(), [&, i] { clients[i]->send(get); });
+        }
+    });
+    for (const auto& client : clients) {
+        const auto answer = client->readAll();
+        // A connection closed before its request was sent is an ordinary idle close.
+        CHECK((answer.empty() || answer.find(" 200 ") != std::string::npos));
+    }
+    CHECK(fixture.thread.call([&] { return fixture.server->counts().cutUnread; }) == 0);
+}
+
 TEST_CASE("half a request does not hold its connection for ever")
 {
     http_server_settings settings;
