Take the listener's backlog before it closes

Callers would see: a new connection whose request is sent is reset without an answer, as the gateway's listener closes in a planned stop. The kernel accepts connections ahead of the process and resets those that are still in the backlog when the listener closes. A connection whose acceptance was under way in the event loop was dropped too.

Cause: closing a listener was taken for "no new connections", but it also ends some that exist for their callers.

Evidence: in the test 20 callers connect and send while the event loop is busy, then the listener closes: all 20 were reset before, all are answered now.

--- a/libs/host/src/process.cpp
+++ b/libs/host/src/process.cpp
@@ -113,7 +113,8 @@
             { { "listener", listener }, { "connections", std::to_string(counts.connections) },
                 { "exchanges", std::to_string(counts.exchanges) },
                 { "unsent_bytes", std::to_string(counts.sendBufferBytes) },
-                { "requests", std::to_string(counts.requests) }, { "cut_unread", std::to_string(counts.cutUnread) },
+                { "requests", std::to_string(counts.requests) },
+                { "backlog_taken", std::to_string(counts.backlogTaken) }, { "cut_unread", std::to_string(counts.cutUnread) },
                 { "cut_reading", std::to_string(counts.cutReading) },
                 { "cut_answering", std::to_string(counts.cutAnswering) } });
     }
--- a/libs/net/include/net/http_server.hpp
+++ b/libs/net/include/net/http_server.hpp
@@ -53,6 +53,7 @@
     std::uint64_t gone = 0;
     std::uint64_t slowReaders = 0; ///< closed at maxSendBufferBytes or writeTimeout
     std::uint64_t timeouts = 0; ///< closed at readTimeout or idleTimeout
+    std::uint64_t backlogTaken = 0; ///< connections that closeListener() took from the kernel's backlog
     std::uint64_t cutUnread = 0; ///< closed by this side with bytes of a caller unread
     std::uint64_t cutReading = 0; ///< closed by this side with part of a request read
     std::uint64_t cutAnswering = 0; ///< closed by this side with a request under way or bytes of its answer unsent
@@ -114,8 +115,9 @@
     /// Closes every connection tagged with the key: idle ones now, others after their answer.
     void closeTagged(const std::string& key);
 
-    /// Stops accepting. Answers from now on say "Connection: close"; connections without a request close after
-    /// drainIdleTime, so that a request already on its way is still served.
+    /// Stops accepting, but takes the connections that the kernel has accepted already. Answers from now on say
+    /// "Connection: close"; connections without a request close after drainIdleTime, so that a request already on its
+    /// way is still served.
     void closeListener();
 
     [[nodiscard]] http_server_counts counts() const;
--- a/libs/net/include/net/tcp_listener.hpp
+++ b/libs/net/include/net/tcp_listener.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -17,7 +18,7 @@
 public:
     using accept_handler = std::function<void(boost::asio::ip::tcp::socket)>;
 
-    /// @param onAccepted never called after close() or the destructor.
+    /// @param onAccepted never called after close() or the destructor, and by drain() for the last connections.
     tcp_listener(boost::asio::io_context& context, accept_handler onAccepted);
     ~tcp_listener();
 
@@ -28,8 +29,13 @@
     /// @return the port, or error_code::Unavailable if the address can't be had.
     result<std::uint16_t> open(const std::string& address);
 
+    /// Stops accepting. Connections that the kernel has accepted already are reset.
     void close();
 
+    /// Stops accepting after it has taken the connections that the kernel has accepted already.
+    /// @return how many these were.
+    std::size_t drain();
+
 private:
     class impl;
     std::shared_ptr<impl> m_impl;
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -64,7 +64,7 @@
     void closeListener()
     {
         m_draining = true;
-        m_listener.close();
+        m_counts.backlogTaken = m_listener.drain();
         const auto sessions = m_sessions;
         for (const auto& [connection, session] : sessions) {
             session->drain();
--- a/libs/net/src/tcp_listener.cpp
+++ b/libs/net/src/tcp_listener.cpp
@@ -58,27 +58,62 @@
 
     void close()
     {
-        boost::system::error_code ignored;
-        m_acceptor.close(ignored);
-        m_pause.cancel();
+        m_closed = true;
+        closeAcceptor();
+    }
+
+    std::size_t drain()
+    {
+        const auto taken = takeBacklog();
+        closeAcceptor();
+        return taken;
     }
 
 private:
     void accept()
     {
         m_acceptor.async_accept([self = shared_from_this()](auto problem, tcp::socket socket) {
+            if (self->m_closed) {
+                return;
+            }
+            if (!problem) {
+                self->m_onAccepted(std::move(socket));
+            }
             if (!self->m_acceptor.is_open()) {
                 return;
             }
             if (problem) {
                 self->acceptLater();
-                return;
+            } else {
+                self->accept();
             }
-            self->accept();
-            self->m_onAccepted(std::move(socket));
         });
     }
 
+    /// The kernel resets connections that are in the backlog when their listener closes.
+    std::size_t takeBacklog()
+    {
+        std::size_t taken = 0;
+        boost::system::error_code problem;
+        m_acceptor.non_blocking(true, problem);
+        while (!problem) {
+            tcp::socket socket(m_acceptor.get_executor());
+            m_acceptor.accept(socket, problem);
+            if (!problem) {
+                ++taken;
+                m_onAccepted(std::move(socket));
+            }
+        }
+        return taken;
+    }
+
+    void closeAcceptor()
+    {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        m_pause.cancel();
+    }
+
     /// Out of file descriptors, mostly: accepting again at once would spin.
     void acceptLater()
     {
@@ -90,6 +125,7 @@
         });
     }
 
+    bool m_closed = false;
     tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_pause;
     accept_handler m_onAccepted;
@@ -115,4 +151,9 @@
     m_impl->close();
 }
 
+std::size_t tcp_listener::drain()
+{
+    return m_impl->drain();
+}
+
 } // namespace cuminledge::net
--- a/libs/net/tests/test_http_server.cpp
+++ b/libs/net/tests/test_http_server.cpp
@@ -363,6 +363,24 @@
     CHECK(fixture.thread.call([&] { return fixture.server->counts().cutUnread; }) == 0);
 }
 
+// Guards against a reset of connections that the kernel has accepted before the listener closes.
+TEST_CASE("a listener that closes first takes the connections in its backlog")
+{
+    server_fixture fixture;
+    std::vector<std::unique_ptr<raw_client>> clients;
+    fixture.thread.call([&] {
+        for (int i = 0; i < 20; ++i) {
+            clients.push_back(std::make_unique<raw_client>(fixture.port));
+            clients.back()->send(get);
+        }
+        fixture.server->closeListener();
+    });
+    for (const auto& client : clients) {
+        CHECK(client->readAll().find(" 200 ") != std::string::npos);
+    }
+    CHECK_THROWS(raw_client(fixture.port));
+}
+
 TEST_CASE("half a request does not hold its connection for ever")
 {
     http_server_settings settings;
