Stop a process once its callers' connections have closed

Callers would see: the end of a large answer to a slow reader, or a request whose body is still being read, is cut by a planned stop.

Cause: a process stopped when its reducer had no call under way (the gateway of chats at once, the forwarding gateway a second after its listener closed, a controller 0.2 s after it has handed over). A call is over for the reducer once its answer has been handed on; what waits in a connection's write queue, or is half read, was not looked at.

Change: the listener tells when its last connection has closed (onDrained), the host makes one event of it for all listeners of callers and operators (listeners_drained), and each reducer waits for it beside its own work, up to the shutdown limit that it had. Idle connections close after 0.5 s, so a controller's stop lasts that long now.

Evidence: the test of the forwarding gateway fails on the code before: it stopped with its connections open.

--- a/libs/core/include/core/controller/controller.hpp
+++ b/libs/core/include/core/controller/controller.hpp
@@ -147,6 +147,7 @@
     bool isReady = false;
     bool isStandby = false; ///< hosts no group
     std::optional<time_point> shutdownSince;
+    bool isDrained = false; ///< the listeners are closed and have no connection left
     time_point nextSweep {};
     controller_counters counters;
 };
--- a/libs/core/include/core/event.hpp
+++ b/libs/core/include/core/event.hpp
@@ -285,11 +285,17 @@
     MSGPACK_DEFINE(exchange, vm, isStart)
 };
 
+/// After close_listeners: the last connection of a caller or operator has closed, with every answer sent.
+struct listeners_drained {
+    bool unused = false; ///< a coded struct needs a field
+    MSGPACK_DEFINE(unused)
+};
+
 /// Alternatives are only ever appended: traces hold their numbers.
 using event = std::variant<process_started, tick, peer_connected, peer_disconnected, peer_message, caller_request,
     caller_gone, operator_request, dump_requested, upstream_response, upstream_data, upstream_finished, upstream_failed,
     replica_loaded, log_persisted, storage_failed, shutdown_requested, forward_request, upstream_head,
-    server_announcement, server_departure, routes_submission, routes_query, retirement_request>;
+    server_announcement, server_departure, routes_submission, routes_query, retirement_request, listeners_drained>;
 
 } // namespace cuminledge::core
 
--- a/libs/core/include/core/forward/forwarder.hpp
+++ b/libs/core/include/core/forward/forwarder.hpp
@@ -85,6 +85,7 @@
     time_point startedAt {};
     shutdown_phase shutdown = shutdown_phase::Running;
     time_point shutdownStepAt {};
+    bool isDrained = false; ///< the listener is closed and has no connection left
     bool isReady = false;
     forwarder_counters counters;
 };
--- a/libs/core/include/core/gateway/gateway.hpp
+++ b/libs/core/include/core/gateway/gateway.hpp
@@ -99,6 +99,7 @@
     time_point nextSweepAt;
     shutdown_phase shutdown = shutdown_phase::Running;
     time_point shutdownPhaseEnd;
+    bool isDrained = false; ///< the listener is closed and has no connection left
     bool ready = false;
     gateway_counters counters;
 };
--- a/libs/core/src/controller/controller.cpp
+++ b/libs/core/src/controller/controller.cpp
@@ -128,7 +128,8 @@
             return;
         }
         const auto passed = r.now - *r.state.shutdownSince;
-        const bool isOver = (handOver(r) && passed >= shutdownGrace) || passed >= r.state.settings.shutdownLimit;
+        const bool isDone = handOver(r) && r.state.isDrained && passed >= shutdownGrace;
+        const bool isOver = isDone || passed >= r.state.settings.shutdownLimit;
         if (isOver) {
             r.out.emplace_back(stop_process { 0 });
         }
@@ -236,6 +237,8 @@
         r.out.emplace_back(close_listeners {});
     }
 
+    void handle(reduction& r, const listeners_drained& /*drained*/) { r.state.isDrained = true; }
+
     /// A controller has no callers and no upstream.
     template <typename Event>
     void handle(reduction& /*r*/, const Event& /*event*/)
--- a/libs/core/src/forward/forwarder.cpp
+++ b/libs/core/src/forward/forwarder.cpp
@@ -92,6 +92,7 @@
         void operator()(const upstream_failed& e) const { onUpstreamFailed(c, e); }
         void operator()(const dump_requested& e) const { c.out.emplace_back(reply_dump { e.exchange, dumpState(c) }); }
         void operator()(const shutdown_requested& e) const { beginShutdown(c, e.immediately); }
+        void operator()(const listeners_drained&) const { c.state.isDrained = true; }
 
         template <typename Other>
         void operator()(const Other&) const
--- a/libs/core/src/forward/lifecycle.cpp
+++ b/libs/core/src/forward/lifecycle.cpp
@@ -66,10 +66,7 @@
     if (c.state.shutdown != shutdown_phase::Draining) {
         return;
     }
-    // Idle connections close shortly after the listener; a request that arrives on one before that is still served.
-    constexpr std::chrono::milliseconds drainTime { 1'000 };
-    const bool isDrainTimeOver = c.now >= c.state.shutdownStepAt - c.state.settings.shutdownLimit + drainTime;
-    if (isDrainTimeOver && c.state.calls.empty() && c.state.controllers.pending.empty()) {
+    if (c.state.isDrained && c.state.calls.empty() && c.state.controllers.pending.empty()) {
         stop(c, 0);
     } else if (c.now >= c.state.shutdownStepAt) {
         stop(c, 1);
--- a/libs/core/src/gateway/gateway.cpp
+++ b/libs/core/src/gateway/gateway.cpp
@@ -170,6 +170,7 @@
         }
 
         void operator()(const shutdown_requested& e) const { beginShutdown(context, e.immediately); }
+        void operator()(const listeners_drained&) const { context.state.isDrained = true; }
 
         template <typename Other>
         void operator()(const Other&) const
--- a/libs/core/src/gateway/lifecycle.cpp
+++ b/libs/core/src/gateway/lifecycle.cpp
@@ -201,7 +201,7 @@
     if (state.shutdown != shutdown_phase::Draining) {
         return;
     }
-    const bool idle = state.calls.empty() && state.controllers.pending.empty();
+    const bool idle = state.isDrained && state.calls.empty() && state.controllers.pending.empty();
     if (idle) {
         state.shutdown = shutdown_phase::Stopped;
         returnRateTokens(context);
--- a/libs/core/tests/call_path_world.hpp
+++ b/libs/core/tests/call_path_world.hpp
@@ -229,6 +229,7 @@
             for (auto& [name, p] : processes) {
                 if (p.alive) {
                     processEvent(p, tick {});
+                    closeDrainedListener(p);
                 }
             }
             runRateAuthority();
@@ -309,6 +310,15 @@
         return a < b ? std::pair(a, b) : std::pair(b, a);
     }
 
+    /// As the host does: the callers' connections close once their answers are sent.
+    void closeDrainedListener(process& p)
+    {
+        const bool isDraining = p.gateway && p.gateway->shutdown == gateway::shutdown_phase::Draining;
+        if (isDraining && !p.gateway->isDrained && p.gateway->callByExchange.empty()) {
+            processEvent(p, listeners_drained {});
+        }
+    }
+
     void start(process& p)
     {
         p.alive = true;
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -237,7 +237,8 @@
     CHECK(refusal->retryAfter.count() > 0);
 }
 
-TEST_CASE("A gateway that shuts down serves requests that still arrive and stops when none is left", "[forward]")
+// Guards against a stop that cuts requests which connections still hold, or answers that they have not sent.
+TEST_CASE("A gateway that shuts down serves requests that still arrive and stops when its connections have closed", "[forward]")
 {
     forward_gateway gateway;
     gateway.configure();
@@ -255,6 +256,21 @@
     gateway.dispatch(upstream_finished { sent->request });
     CHECK(gateway.takeEffect<end_answer>());
     gateway.advance(std::chrono::milliseconds(100));
+    CHECK_FALSE(gateway.takeEffect<stop_process>()); // the answer may still be on its way to a slow reader
+    gateway.dispatch(listeners_drained {});
+    gateway.advance(std::chrono::milliseconds(100));
+    CHECK(gateway.takeEffect<stop_process>());
+}
+
+TEST_CASE("A gateway that shuts down waits for its connections up to a limit", "[forward]")
+{
+    forward_gateway gateway;
+    gateway.configure();
+    gateway.dispatch(shutdown_requested {});
+    gateway.advance(gateway.state.settings.shutdownDelay);
+    gateway.advance(gateway.state.settings.shutdownLimit - 1ms);
+    CHECK_FALSE(gateway.takeEffect<stop_process>());
+    gateway.advance(1ms);
     CHECK(gateway.takeEffect<stop_process>());
 }
 
--- a/libs/host/src/process.cpp
+++ b/libs/host/src/process.cpp
@@ -196,6 +196,7 @@
     void onCallerRequest(net::http_request&& request);
     void onControlRequest(net::http_request&& request);
     void onUpstreamHead(const std::string& request, net::response_head&& head);
+    void onListenerDrained();
     void happen(core::event event);
     void drainEvents();
     void scheduleTick();
@@ -217,6 +218,7 @@
     bool m_signalled = false;
     bool m_waitsForSignals = false;
     int m_exitCode = 0;
+    int m_undrainedListeners = 0; ///< closed, but with connections left
     std::ofstream m_trace;
     std::unique_ptr<net::peer_transport> m_transport;
     std::unique_ptr<net::http_client> m_client;
@@ -273,6 +275,7 @@
     net::http_server_handlers handlers;
     handlers.onRequest = [this](net::http_request&& request) { onCallerRequest(std::move(request)); };
     handlers.onGone = [this](std::uint64_t exchange, const std::string&) { happen(core::caller_gone { exchange }); };
+    handlers.onDrained = [this] { onListenerDrained(); };
     m_callers = std::make_unique<net::http_server>(m_context, makeCallerSettings(m_settings), std::move(handlers));
 }
 
@@ -283,6 +286,7 @@
         happen(core::operator_request { exchange, method, parameters });
     };
     handlers.onGone = [](std::uint64_t) {};
+    handlers.onDrained = [this] { onListenerDrained(); };
     m_operators = std::make_unique<net::rpc_connector>(m_context, makeOperatorSettings(m_settings),
         core::controller::operatorMethods(), std::move(handlers));
 }
@@ -292,6 +296,7 @@
     net::http_server_handlers handlers;
     handlers.onRequest = [this](net::http_request&& request) { onControlRequest(std::move(request)); };
     handlers.onGone = [this](std::uint64_t exchange, const std::string&) { m_controlTargets.erase(exchange); };
+    handlers.onDrained = [this] { onListenerDrained(); };
     m_control = std::make_unique<net::http_server>(m_context, makeControlSettings(m_settings), std::move(handlers));
 }
 
@@ -574,8 +579,21 @@
     return writeJson(*state);
 }
 
+/// A gateway has one listener, a controller two at most.
+void process::impl::onListenerDrained()
+{
+    const bool isLast = --m_undrainedListeners == 0;
+    if (isLast) {
+        happen(core::listeners_drained {});
+    }
+}
+
 void process::impl::carryOut(const core::close_listeners&)
 {
+    m_undrainedListeners = (m_callers ? 1 : 0) + (m_operators ? 1 : 0) + (m_control ? 1 : 0);
+    if (m_undrainedListeners == 0) {
+        happen(core::listeners_drained {});
+    }
     if (m_callers) {
         m_callers->closeListener();
     }
--- a/libs/net/include/net/http_server.hpp
+++ b/libs/net/include/net/http_server.hpp
@@ -39,6 +39,9 @@
     /// called from within a call of the owner.
     /// A caller that shuts down its sending side while it waits counts as gone.
     std::function<void(std::uint64_t exchange, const std::string& reason)> onGone;
+
+    /// After closeListener(): the last connection has closed, with every answer sent. May be empty.
+    std::function<void()> onDrained {};
 };
 
 /// Counts for state dumps.
@@ -117,7 +120,7 @@
 
     /// Stops accepting, but takes the connections that the kernel has accepted already. Answers from now on say
     /// "Connection: close"; connections without a request close after drainIdleTime, so that a request already on its
-    /// way is still served.
+    /// way is still served. Then calls onDrained.
     void closeListener();
 
     [[nodiscard]] http_server_counts counts() const;
--- a/libs/net/include/net/rpc_connector.hpp
+++ b/libs/net/include/net/rpc_connector.hpp
@@ -20,6 +20,9 @@
 
     /// The operator's connection closed before the answer.
     std::function<void(std::uint64_t exchange)> onGone;
+
+    /// After closeListener(): the last connection has closed. May be empty.
+    std::function<void()> onDrained {};
 };
 
 /**
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -69,6 +69,7 @@
         for (const auto& [connection, session] : sessions) {
             session->drain();
         }
+        notifyIfDrained();
     }
 
     [[nodiscard]] http_server_counts counts() const
@@ -121,9 +122,26 @@
         });
     }
 
-    void endSession(std::uint64_t connection) override { m_sessions.erase(connection); }
+    void endSession(std::uint64_t connection) override
+    {
+        m_sessions.erase(connection);
+        notifyIfDrained();
+    }
 
 private:
+    void notifyIfDrained()
+    {
+        if (!m_draining || !m_sessions.empty() || !m_handlers.onDrained) {
+            return;
+        }
+        // A connection whose acceptance is already queued comes before the posted handler.
+        boost::asio::post(m_context, [self = shared_from_this()] {
+            if (!self->m_stopped && self->m_sessions.empty() && !std::exchange(self->m_drainNotified, true)) {
+                self->m_handlers.onDrained();
+            }
+        });
+    }
+
     void startSession(boost::asio::ip::tcp::socket socket)
     {
         if (m_sessions.size() >= m_settings.maxConnections) {
@@ -143,6 +161,7 @@
     http_server_handlers m_handlers;
     http_server_counts m_counts;
     bool m_draining = false;
+    bool m_drainNotified = false;
     bool m_announcesClosing = false;
     bool m_stopped = false;
     std::uint64_t m_lastConnection = 0;
--- a/libs/net/src/rpc_connector.cpp
+++ b/libs/net/src/rpc_connector.cpp
@@ -65,7 +65,8 @@
         , m_checker(jsonrpc::RequestHandlerFactory::createProtocolHandler(jsonrpc::JSONRPC_SERVER_V2, m_keeper))
         , m_server(context, std::move(settings),
               { [this](http_request&& request) { onRequest(request); },
-                  [this](std::uint64_t exchange, const std::string&) { onGone(exchange); } })
+                  [this](std::uint64_t exchange, const std::string&) { onGone(exchange); },
+                  [this] { onDrained(); } })
     {
         for (const auto& method : methods) {
             m_checker->AddProcedure(
@@ -135,6 +136,13 @@
         m_server.reply(exchange, { 200, "application/json", {}, writeJson(body) });
     }
 
+    void onDrained()
+    {
+        if (m_handlers.onDrained) {
+            m_handlers.onDrained();
+        }
+    }
+
     void onGone(std::uint64_t exchange)
     {
         if (m_ids.erase(exchange) != 0) {
--- a/libs/net/tests/test_http_server.cpp
+++ b/libs/net/tests/test_http_server.cpp
@@ -279,6 +279,21 @@
     CHECK_THROWS(raw_client(fixture.port));
 }
 
+namespace {
+
+/// Sends on a connection whose idle timeout passes before the server can read, as on a busy VM.
+void sendAsIdleTimeoutPasses(server_fixture& fixture, raw_client& client, const std::string& request)
+{
+    REQUIRE(fixture.thread.waitFor([&] { return fixture.server->counts().connections == 1; }));
+    fixture.thread.call([&] { fixture.server->closeListener(); });
+    fixture.thread.call([&] {
+        std::this_thread::sleep_for(2 * fixture.drainIdleTime);
+        client.send(request);
+    });
+}
+
+} // namespace
+
 // Guards against closing behind an answer that said keep-alive: the caller's next request was read and dropped.
 TEST_CASE("a connection that an answer called open takes the next request, also when closing was announced meanwhile")
 {
@@ -310,21 +325,6 @@
     CHECK(answer.find("Connection: close") != std::string::npos);
 }
 
-namespace {
-
-/// Sends on a connection whose idle timeout passes before the server can read, as on a busy VM.
-void sendAsIdleTimeoutPasses(server_fixture& fixture, raw_client& client, const std::string& request)
-{
-    REQUIRE(fixture.thread.waitFor([&] { return fixture.server->counts().connections == 1; }));
-    fixture.thread.call([&] { fixture.server->closeListener(); });
-    fixture.thread.call([&] {
-        std::this_thread::sleep_for(2 * fixture.drainIdleTime);
-        client.send(request);
-    });
-}
-
-} // namespace
-
 // Guards against an idle timeout that ends the request which was read in the same turn of the event loop.
 TEST_CASE("a request that is read as the idle timeout passes is answered")
 {
