Split what a process reports of its sockets from the process

The description of peers, listeners and the client for the state dump, and the line that a stopped listener logs, stand in host_report now. No behaviour changes: member names and values of the dump and the log line are the same.

--- /dev/null
+++ b/libs/host/src/host_report.cpp
@@ -0,0 +1,66 @@
+#include "host_report.hpp"
+
+#include <string>
+
+#include <base/log.hpp>
+
+namespace cuminledge::host {
+
+Json::Value describePeers(const net::peer_transport& transport)
+{
+    Json::Value peers(Json::arrayValue);
+    for (const auto& counts : transport.counts()) {
+        Json::Value peer(Json::objectValue);
+        peer["peer"] = counts.peer;
+        peer["address"] = counts.address;
+        peer["incarnation"] = Json::UInt64(counts.incarnation);
+        peer["links"] = Json::UInt64(counts.links);
+        peer["send_queue_bytes"] = Json::UInt64(counts.sendQueueBytes);
+        peer["frames_in"] = Json::UInt64(counts.framesIn);
+        peer["frames_out"] = Json::UInt64(counts.framesOut);
+        peer["bytes_in"] = Json::UInt64(counts.bytesIn);
+        peer["bytes_out"] = Json::UInt64(counts.bytesOut);
+        peer["dropped"] = Json::UInt64(counts.dropped);
+        peer["silent"] = Json::UInt64(counts.silent);
+        peers.append(peer);
+    }
+    return peers;
+}
+
+Json::Value describeListener(const net::http_server_counts& counts)
+{
+    Json::Value server(Json::objectValue);
+    server["connections"] = Json::UInt64(counts.connections);
+    server["exchanges"] = Json::UInt64(counts.exchanges);
+    server["send_buffer_bytes"] = Json::UInt64(counts.sendBufferBytes);
+    server["accepted"] = Json::UInt64(counts.accepted);
+    server["requests"] = Json::UInt64(counts.requests);
+    server["bad_requests"] = Json::UInt64(counts.badRequests);
+    server["gone"] = Json::UInt64(counts.gone);
+    server["slow_readers"] = Json::UInt64(counts.slowReaders);
+    return server;
+}
+
+Json::Value describeClient(const net::http_client_counts& counts)
+{
+    Json::Value client(Json::objectValue);
+    client["under_way"] = Json::UInt64(counts.underWay);
+    client["pooled"] = Json::UInt64(counts.pooled);
+    client["started"] = Json::UInt64(counts.started);
+    client["failed"] = Json::UInt64(counts.failed);
+    return client;
+}
+
+void logStoppedListener(const char* listener, const net::http_server_counts& counts)
+{
+    logEvent(log_level::Info, "listener_stopped",
+        { { "listener", listener }, { "connections", std::to_string(counts.connections) },
+            { "exchanges", std::to_string(counts.exchanges) },
+            { "unsent_bytes", std::to_string(counts.sendBufferBytes) },
+            { "requests", std::to_string(counts.requests) },
+            { "backlog_taken", std::to_string(counts.backlogTaken) }, { "cut_unread", std::to_string(counts.cutUnread) },
+            { "cut_reading", std::to_string(counts.cutReading) },
+            { "cut_answering", std::to_string(counts.cutAnswering) } });
+}
+
+} // namespace cuminledge::host
--- a/libs/host/src/process.cpp
+++ b/libs/host/src/process.cpp
@@ -26,6 +26,7 @@
 
 #include "admin_listener.hpp"
 #include "disk.hpp"
+#include "host_report.hpp"
 
 namespace cuminledge::host {
 
@@ -86,53 +87,6 @@
         return server;
     }
 
-    Json::Value describePeers(const net::peer_transport& transport)
-    {
-        Json::Value peers(Json::arrayValue);
-        for (const auto& counts : transport.counts()) {
-            Json::Value peer(Json::objectValue);
-            peer["peer"] = counts.peer;
-            peer["address"] = counts.address;
-            peer["incarnation"] = Json::UInt64(counts.incarnation);
-            peer["links"] = Json::UInt64(counts.links);
-            peer["send_queue_bytes"] = Json::UInt64(counts.sendQueueBytes);
-            peer["frames_in"] = Json::UInt64(counts.framesIn);
-            peer["frames_out"] = Json::UInt64(counts.framesOut);
-            peer["bytes_in"] = Json::UInt64(counts.bytesIn);
-            peer["bytes_out"] = Json::UInt64(counts.bytesOut);
-            peer["dropped"] = Json::UInt64(counts.dropped);
-            peer["silent"] = Json::UInt64(counts.silent);
-            peers.append(peer);
-        }
-        return peers;
-    }
-
-    void logListener(const char* listener, const net::http_server_counts& counts)
-    {
-        logEvent(log_level::Info, "listener_stopped",
-            { { "listener", listener }, { "connections", std::to_string(counts.connections) },
-                { "exchanges", std::to_string(counts.exchanges) },
-                { "unsent_bytes", std::to_string(counts.sendBufferBytes) },
-                { "requests", std::to_string(counts.requests) },
-                { "backlog_taken", std::to_string(counts.backlogTaken) }, { "cut_unread", std::to_string(counts.cutUnread) },
-                { "cut_reading", std::to_string(counts.cutReading) },
-                { "cut_answering", std::to_string(counts.cutAnswering) } });
-    }
-
-    Json::Value describeServer(const net::http_server_counts& counts)
-    {
-        Json::Value server(Json::objectValue);
-        server["connections"] = Json::UInt64(counts.connections);
-        server["exchanges"] = Json::UInt64(counts.exchanges);
-        server["send_buffer_bytes"] = Json::UInt64(counts.sendBufferBytes);
-        server["accepted"] = Json::UInt64(counts.accepted);
-        server["requests"] = Json::UInt64(counts.requests);
-        server["bad_requests"] = Json::UInt64(counts.badRequests);
-        server["gone"] = Json::UInt64(counts.gone);
-        server["slow_readers"] = Json::UInt64(counts.slowReaders);
-        return server;
-    }
-
 } // namespace
 
 //------------------------------------------------------------------------------------------------------------------
@@ -569,13 +523,9 @@
     host["incarnation"] = Json::UInt64(m_incarnation);
     host["peers"] = describePeers(*m_transport);
     if (m_callers) {
-        host["callers"] = describeServer(m_callers->counts());
+        host["callers"] = describeListener(m_callers->counts());
     }
-    const auto upstream = m_client->counts();
-    host["upstream"]["under_way"] = Json::UInt64(upstream.underWay);
-    host["upstream"]["pooled"] = Json::UInt64(upstream.pooled);
-    host["upstream"]["started"] = Json::UInt64(upstream.started);
-    host["upstream"]["failed"] = Json::UInt64(upstream.failed);
+    host["upstream"] = describeClient(m_client->counts());
     return writeJson(*state);
 }
 
@@ -609,10 +559,10 @@
 {
     m_exitCode = e.exitCode;
     if (m_callers) {
-        logListener("callers", m_callers->counts());
+        logStoppedListener("callers", m_callers->counts());
     }
     if (m_control) {
-        logListener("control", m_control->counts());
+        logStoppedListener("control", m_control->counts());
     }
     m_context.stop();
 }
