A repeated SIGTERM no longer ends a process that drains

What callers saw: streams of a draining gateway broke off when SIGTERM came a second time. Supervisors repeat SIGTERM, and rolling stops that overlap send it twice.

Cause: waitForSignal() took any second SIGTERM or SIGINT as an order to stop at once.

Now only a second SIGINT (an operator's second Ctrl-C) does. SIGTERM and SIGINT in either order go on gracefully, as does a SIGHUP in between. A graceful shutdown_requested that is repeated is ignored by the four reducers already (read, not changed).

The engines of ShutdownTest take 20 ms a token from now on, and answer up to 256 tokens. With the defaults (24 tokens, about 0.2 ms each) a stream was over within milliseconds, so that the older test of a graceful shutdown could have no stream under way at the signal; its streams now last over a second. The new test also checks that all 8 streams still run after the last signal.

Ruled out as depending on the old rule: tools send at most one SIGTERM to a process.

--- a/libs/host/include/host/process.hpp
+++ b/libs/host/include/host/process.hpp
@@ -29,7 +29,7 @@
 
     /**
      * Opens the listeners and the disk, and runs until the reducer stops the process. SIGTERM and SIGINT ask it to shut
-     * down gracefully, a second one at once.
+     * down gracefully, a second SIGINT at once; a repeated SIGTERM changes nothing.
      *
      * @return the exit code: 0 after a graceful shutdown; 1 if it could not start (logged) or had to stop.
      */
--- a/libs/host/src/process.cpp
+++ b/libs/host/src/process.cpp
@@ -26,6 +26,7 @@
 
 #include "admin_listener.hpp"
 #include "disk.hpp"
+#include "shutdown_signals.hpp"
 
 namespace cuminledge::host {
 
@@ -213,7 +214,7 @@
     std::uint64_t m_incarnation = makeIncarnation();
     std::deque<core::event> m_events;
     bool m_draining = false;
-    bool m_signalled = false;
+    shutdown_signals m_shutdownSignals;
     bool m_waitsForSignals = false;
     int m_exitCode = 0;
     std::ofstream m_trace;
@@ -473,7 +474,7 @@
 
 void process::impl::waitForSignal()
 {
-    if (!m_signalled && !m_waitsForSignals) {
+    if (!m_waitsForSignals) {
         m_waitsForSignals = true;
         m_signals.add(SIGTERM);
         m_signals.add(SIGINT);
@@ -489,7 +490,7 @@
             waitForSignal();
             return;
         }
-        happen(core::shutdown_requested { std::exchange(m_signalled, true) });
+        happen(core::shutdown_requested { m_shutdownSignals.isImmediate(number) });
         waitForSignal();
     });
 }
--- a/tools/local/tests/test_kills.py
+++ b/tools/local/tests/test_kills.py
@@ -3,10 +3,13 @@
 
 import json
 import signal
+import time
 import unittest
 
 from support import ACCOUNT, DeploymentTest, in_thread, request, unique
 
+SIGNAL_SPACING_SECONDS = 0.2  # distinct signals, all within a second
+
 
 class KillTest(DeploymentTest):
     base_port = 23500
@@ -76,6 +79,8 @@
 
 class ShutdownTest(DeploymentTest):
     base_port = 23700
+    # 20 ms a token: streams run for as long as max_tokens says, and not only until the first signal.
+    options = {"engine_settings": {"answer_tokens": 256, "decode_step_us": 20000}}
 
     def test_graceful_shutdown_of_a_gateway_cuts_off_no_request(self):
         gateway = self.gateways()[0]
@@ -91,6 +96,33 @@
         self.deployment.start_process("gateway-1")
         self.eventually(self.serves_new_caller, "served again")
 
+    # Guards against a repeated SIGTERM that ends a draining process at once, with streams under way.
+    def test_signals_in_series_during_a_graceful_shutdown_cut_off_no_request(self):
+        gateway = self.gateways()[0]
+        programs = [self.open_program(gateway) for _ in range(8)]
+        pending = [in_thread(self.turn, program, 1, gateway, stream=True, max_tokens=256) for program in programs]
+        self.eventually(lambda: self.streams_running("gateway-1") == len(programs), "every stream runs")
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGTERM):
+            self.deployment.signal("gateway-1", number)
+            time.sleep(SIGNAL_SPACING_SECONDS)
+        running = self.streams_running("gateway-1")
+        for join in pending:
+            status, _, text = join()
+            self.assertEqual(status, 200, text)
+            self.assertTrue(text.rstrip().endswith("data: [DONE]"))
+        self.assertEqual(running, len(programs), "every stream still ran after the last signal")
+        self.deployment.processes["gateway-1"].wait(30)
+        self.assertEqual(self.deployment.processes["gateway-1"].returncode, 0)
+        self.deployment.start_process("gateway-1")
+        self.eventually(self.serves_new_caller, "served again")
+
+    def streams_running(self, gateway):
+        """Calls that the gateway has under way at a backend server; 0 if the gateway has ended."""
+        try:
+            return sum(call["backend"] != "" for call in self.dump(gateway)["calls"])
+        except OSError:
+            return 0
+
     def backend_state(self, backend):
         run = self.deployment.ctl("--output", "json", "backend", "list")
         return next(b["state"] for b in json.loads(run.stdout)["backends"] if b["backend"] == backend)
