Signals that come before the listeners are open wait for the process to run

What was seen: a process that got SIGHUP between its start and waitForSignal(), the last step of run() before the event loop, was ended by the signal's default action, although a SIGHUP only says that the settings file has changed. A controller opens its disk in that time. SIGTERM and SIGINT ended it as well, without the exit code 0 of a graceful stop.

Cause: the signals were registered in waitForSignal(), after the listeners and the disk had been opened.

They are registered when the process object is made, after the settings are read and before anything is opened. Asio keeps signals that no handler waits for; run() then takes them in their order, and the start-up ends first.

Consequences: SIGTERM and SIGINT during the start-up stop a process only once its listeners and its disk are open. Not covered: the time from exec to the construction, in which the options and settings are read and the log is started; a signal there still has its default action.

--- a/libs/host/include/host/process.hpp
+++ b/libs/host/include/host/process.hpp
@@ -19,6 +19,7 @@
  */
 class process {
 public:
+    /// SIGTERM, SIGINT and SIGHUP wait for run() from here on, in place of their default action.
     /// @param clock outlives the process.
     /// @param interface for a forwarding gateway, and for a controller with a control address; else unused.
     process(loaded_settings settings, const clock_source& clock, external_interface interface = {});
--- a/libs/host/src/process.cpp
+++ b/libs/host/src/process.cpp
@@ -146,7 +146,7 @@
         , m_interface(std::move(interface))
         , m_node(std::move(settings.node))
         , m_clock(clock)
-        , m_signals(m_context)
+        , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_timer(m_context)
     {
     }
@@ -208,14 +208,13 @@
     core::node m_node;
     const clock_source& m_clock;
     asio::io_context m_context { 1 };
-    asio::signal_set m_signals;
+    asio::signal_set m_signals; ///< from the construction on: those that come before run() waits are kept
     asio::steady_timer m_timer;
     metrics m_metrics;
     std::uint64_t m_incarnation = makeIncarnation();
     std::deque<core::event> m_events;
     bool m_draining = false;
     shutdown_signals m_shutdownSignals;
-    bool m_waitsForSignals = false;
     int m_exitCode = 0;
     std::ofstream m_trace;
     std::unique_ptr<net::peer_transport> m_transport;
@@ -474,12 +473,6 @@
 
 void process::impl::waitForSignal()
 {
-    if (!m_waitsForSignals) {
-        m_waitsForSignals = true;
-        m_signals.add(SIGTERM);
-        m_signals.add(SIGINT);
-        m_signals.add(SIGHUP);
-    }
     m_signals.async_wait([this](const boost::system::error_code& failed, int number) {
         if (failed) {
             return;
