--- a/libs/core/include/core/event.hpp
+++ b/libs/core/include/core/event.hpp
@@ -182,9 +182,9 @@
     MSGPACK_DEFINE(group, message)
 };
 
-/// SIGTERM, or a second one.
+/// SIGTERM or SIGINT.
 struct shutdown_requested {
-    bool immediately = false;
+    bool immediately = false; ///< a second SIGINT
     MSGPACK_DEFINE(immediately)
 };
 
--- a/libs/host/include/host/process.hpp
+++ b/libs/host/include/host/process.hpp
@@ -19,6 +19,7 @@
  */
 class process {
 public:
+    /// SIGTERM, SIGINT and SIGHUP wait for run() from here on, in place of their default action.
     /// @param clock outlives the process.
     /// @param interface for a forwarding gateway, and for a controller with a control address; else unused.
     process(loaded_settings settings, const clock_source& clock, external_interface interface = {});
@@ -29,7 +30,7 @@
 
     /**
      * Opens the listeners and the disk, and runs until the reducer stops the process. SIGTERM and SIGINT ask it to shut
-     * down gracefully, a second one at once.
+     * down gracefully, a second SIGINT at once; a repeated SIGTERM changes nothing.
      *
      * @return the exit code: 0 after a graceful shutdown; 1 if it could not start (logged) or had to stop.
      */
--- a/libs/host/src/process.cpp
+++ b/libs/host/src/process.cpp
@@ -27,6 +27,7 @@
 #include "admin_listener.hpp"
 #include "disk.hpp"
 #include "host_report.hpp"
+#include "shutdown_signals.hpp"
 
 namespace cuminledge::host {
 
@@ -100,7 +101,7 @@
         , m_interface(std::move(interface))
         , m_node(std::move(settings.node))
         , m_clock(clock)
-        , m_signals(m_context)
+        , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_timer(m_context)
     {
     }
@@ -163,14 +164,13 @@
     core::node m_node;
     const clock_source& m_clock;
     asio::io_context m_context { 1 };
-    asio::signal_set m_signals;
+    asio::signal_set m_signals; ///< from the construction on: those that come before run() waits are kept
     asio::steady_timer m_timer;
     metrics m_metrics;
     std::uint64_t m_incarnation = makeIncarnation();
     std::deque<core::event> m_events;
     bool m_draining = false;
-    bool m_signalled = false;
-    bool m_waitsForSignals = false;
+    shutdown_signals m_shutdownSignals;
     int m_exitCode = 0;
     int m_undrainedListeners = 0; ///< closed, but with connections left
     std::ofstream m_trace;
@@ -433,12 +433,6 @@
 
 void process::impl::waitForSignal()
 {
-    if (!m_signalled && !m_waitsForSignals) {
-        m_waitsForSignals = true;
-        m_signals.add(SIGTERM);
-        m_signals.add(SIGINT);
-        m_signals.add(SIGHUP);
-    }
     m_signals.async_wait([this](const boost::system::error_code& failed, int number) {
         if (failed) {
             return;
@@ -449,7 +443,7 @@
             waitForSignal();
             return;
         }
-        happen(core::shutdown_requested { std::exchange(m_signalled, true) });
+        happen(core::shutdown_requested { m_shutdownSignals.isImmediate(number) });
         waitForSignal();
     });
 }
