Log the software version of servers, and each resumption of a stream

The logs could not tell which way a stream was joined: by the gateway within one answer, or by a caller that takes it up. No logic changes.

--- a/libs/core/include/core/event.hpp
+++ b/libs/core/include/core/event.hpp
@@ -226,8 +226,9 @@
     std::int64_t maxOutputTokens = 0;
     std::vector<prompt_part> parts; ///< of the prompt, in order
     std::string lastEvent; ///< the caller resumes a stream behind this event's id
+    std::string resumedAttempt; ///< the request that received the first event of the resumed stream; empty: not said
     MSGPACK_DEFINE(exchange, attempt, method, target, host, headers, body, key, timeLeft, programContext, model, promptTokens,
-        maxOutputTokens, parts, lastEvent)
+        maxOutputTokens, parts, lastEvent, resumedAttempt)
 };
 
 /// The head of a backend server's answer to a forward_upstream effect. Then upstream_data, and upstream_finished or
--- a/libs/core/src/controller/membership.cpp
+++ b/libs/core/src/controller/membership.cpp
@@ -272,7 +272,7 @@
     const auto& record = change.server;
     log(r, log_level::Info, record.withdrawn ? "backend_withdrawn" : "backend_announced",
         { { "backend", record.backend }, { "address", record.address }, { "service", record.service },
-            { "domain", record.failureDomain }, { "draining", record.draining ? "yes" : "no" },
+            { "domain", record.failureDomain }, { "version", record.softwareVersion }, { "draining", record.draining ? "yes" : "no" },
             { "leaving", change.isLeaving ? "yes" : "no" }, { "incarnation", std::to_string(record.incarnation) } });
     if (r.state.members.backends.size() >= maxBackends) {
         forgetOldestWithdrawn(r.state.members);
--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -53,6 +53,15 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(call.expiresAt - c.now);
     }
 
+    void logResumption(context& c, const forward_call& call, const server_entry& server, const std::string& lastEvent)
+    {
+        const bool isByCaller = call.answer.lastEvent.empty();
+        logCall(c, log_level::Info, "stream_resumed", call,
+            { { "by", isByCaller ? "caller" : "gateway" }, { "server", call.server },
+                { "version", server.record.softwareVersion }, { "last_event", lastEvent },
+                { "resumed_request", call.request.resumedAttempt } });
+    }
+
     void send(context& c, forward_call& call, const server_entry& server)
     {
         call.server = server.record.backend;
@@ -78,6 +87,9 @@
         effect.account = call.account;
         effect.timeLeft = timeLeft(c, call);
         effect.lastEvent = call.answer.lastEvent.empty() ? request.lastEvent : call.answer.lastEvent;
+        if (!effect.lastEvent.empty()) {
+            logResumption(c, call, server, effect.lastEvent);
+        }
         c.out.emplace_back(std::move(effect));
     }
 
--- a/libs/core/src/forward/dump.cpp
+++ b/libs/core/src/forward/dump.cpp
@@ -15,6 +15,7 @@
             server["address"] = entry.record.address;
             server["service"] = entry.record.service;
             server["failure_domain"] = entry.record.failureDomain;
+            server["software_version"] = entry.record.softwareVersion;
             server["draining"] = entry.record.draining;
             server["gone"] = entry.isGone;
             server["in_flight"] = entry.inFlight;
--- a/libs/wire/include/wire/control_messages.hpp
+++ b/libs/wire/include/wire/control_messages.hpp
@@ -77,8 +77,9 @@
     std::string sidecar; ///< name of the sidecar's process, as in its hello; empty: it announces itself
     std::string address; ///< "IP:PORT" of the server itself, where it has no sidecar
     std::string service; ///< where it has no sidecar
+    std::string softwareVersion; ///< of the server's software, not of its models; empty: not known
     MSGPACK_DEFINE(backend, incarnation, sidecarAddress, region, failureDomain, kind, models, batchLimit, cacheTokens,
-        draining, withdrawn, sidecar, address, service)
+        draining, withdrawn, sidecar, address, service, softwareVersion)
 };
 
 struct quarantine_record {
