Release a reservation of tokens whose call ends before it is answered

Callers would see: a turn refused with 402 although its program's budget holds it. A call that ends while its reservation is under way (its caller leaves, or its deadline passes) released nothing; where the reservation was granted afterwards, its tokens stayed reserved until the program was forgotten.

Cause: only a reservation known to be granted was settled; one that is not answered yet may be granted. The case in which the controllers do not answer in time was handled, the others were not. Found by reading, on the way to calls that are refused while they are prepared.

Why it works: a settlement of an unused reservation is idempotent, and one that overtakes its reservation is remembered, so that the late reservation reserves nothing (core:"A resent reservation or settlement changes nothing").

Evidence: the new section fails on the code before: no settlement is sent.

--- a/libs/core/src/forward/answers.cpp
+++ b/libs/core/src/forward/answers.cpp
@@ -39,7 +39,8 @@
 
 void settleBudget(context& c, forward_call& call)
 {
-    if (!call.hasReservation) {
+    // A reservation that is not answered yet may have been granted.
+    if (!call.hasReservation && call.reserveRequest == 0) {
         return;
     }
     call.hasReservation = false;
--- a/libs/core/tests/test_forward_turns.cpp
+++ b/libs/core/tests/test_forward_turns.cpp
@@ -64,6 +64,13 @@
         CHECK(gateway.takeEffect<refuse_caller>()->code == error_code::Unavailable);
         CHECK(decoded<wire::settle_tokens>(gateway.takeControllerRequest()).used == 0);
     }
+    // Guards against tokens that stay reserved until the program is forgotten, so that its next turn gets a 402.
+    SECTION("the caller leaves first: the reservation is released in case it was granted")
+    {
+        gateway.dispatch(caller_gone { firstExchange });
+        CHECK(decoded<wire::settle_tokens>(gateway.takeControllerRequest()).used == 0);
+        CHECK(gateway.state.calls.empty());
+    }
 }
 
 TEST_CASE("A retained turn is durable before its answer ends", "[forward]")
