Resume a stream only at the software version that began it

Cause: a stream's place was its last event alone. The software version that servers announce was not kept, the choice of a server knew none, and Resumes was not read. The class: state that only a server's output implies (which version it fits to) lived in no durable place, so a retry could go anywhere.

Ruled out: a gateway's memory (all of them can be lost at once between a stream's first event and its resumption); "only one version is known here" (the old servers may just have left); something in the answer that the caller brings back (it brings the ids of its request and of the last event, which are its own and the server's).

Change: with the first send of a resumable stream its service and version are recorded in the group of its account, under the request's id. A caller's resumption reads that record, beside its budget; the gateway's own keeps to the version from the first event on. No record, no server of the version, or a route that leads elsewhere by now: refused at once as not run. A stream does not wait for its record, as a missing one only costs the resumption; it waits where it moves to another version before its first event, since an earlier record may be in force.

--- a/libs/core/include/core/forward/forward_call.hpp
+++ b/libs/core/include/core/forward/forward_call.hpp
@@ -7,6 +7,7 @@
 #include <base/clock.hpp>
 #include <core/event.hpp>
 #include <core/forward/event_splitter.hpp>
+#include <wire/commands.hpp>
 #include <wire/route_table.hpp>
 
 namespace cuminledge::core::forward {
@@ -35,6 +36,14 @@
     std::string output; ///< data of all forwarded events, each followed by a line feed
 };
 
+/// The record of a stream's origin in the group of its account, for callers that resume the stream.
+struct origin_record {
+    std::uint64_t request = 0; ///< pending controller request; 0: none
+    std::uint32_t sequence = 0; ///< of the last record sent; 0: none
+    std::string softwareVersion; ///< in the last record sent
+    bool isAwaited = false; ///< the call is sent to a server once the record is confirmed
+};
+
 /// State of one caller's request from its arrival to the end of its answer.
 struct forward_call {
     exchange_id exchange = 0;
@@ -55,8 +64,12 @@
     std::string chain; ///< text of the earlier turns, oldest first
     bool isChainRead = false; ///< the chain was read from its group because the turn cache did not hold it
 
-    std::string service; ///< chosen by the route's weights
+    std::string service; ///< chosen by the route's weights, or the service that began the resumed stream
+    wire::stream_origin origin; ///< of the stream, once an event of it is with the caller; no service: none is
+    std::uint64_t originRequest = 0; ///< pending read of the origin of the resumed stream; 0: none
+    origin_record originRecord;
     std::string server; ///< server of the current or last attempt; empty: not sent yet
+    std::string softwareVersion; ///< of that server at the time of the send
     std::string upstream; ///< id of the upstream request; empty: none under way
     std::set<std::string> triedServers; ///< servers that the request was sent to
     std::uint32_t sends = 0;
--- a/libs/core/include/core/store/shard_state.hpp
+++ b/libs/core/include/core/store/shard_state.hpp
@@ -46,7 +46,7 @@
 constexpr std::size_t maxChainTurns = 1'000;
 /// Maximum number of settled attempts kept per budget.
 constexpr std::size_t maxSettledAttempts = 16;
-/// Maximum number of budgets, and of retained turns, in one group; new ones beyond it are refused.
+/// Maximum number of budgets, of retained turns, and of recorded streams in one group; new ones beyond it are refused.
 constexpr std::size_t maxRetained = 500'000;
 
 /// Maximum number of times that a call known not to have run may be recorded again.
@@ -131,6 +131,16 @@
     MSGPACK_DEFINE(account, turn, previous, text, expires)
 };
 
+/// Where a stream that may be resumed began.
+struct recorded_stream {
+    std::string account;
+    std::string attempt;
+    wire::stream_origin origin;
+    std::uint32_t sequence = 0;
+    std::chrono::milliseconds expires { 0 }; ///< on the group's clock
+    MSGPACK_DEFINE(account, attempt, origin, sequence, expires)
+};
+
 /// The replicated state of one of the groups 1..N. Modified only by applyCommand(), so it is equal on every replica at
 /// the same log index.
 struct shard_state {
@@ -145,6 +155,7 @@
     std::map<std::string, wire::reserve_rate> rates; ///< the latest reservation of each client account
     std::map<call_key, program_budget> budgets; ///< by account and program
     std::map<call_key, retained_turn> turns; ///< by account and turn
+    std::map<call_key, recorded_stream> streams; ///< by account and attempt
     std::chrono::milliseconds clock { 0 }; ///< total time measured by the group's leaders
     std::uint64_t budgetOverruns = 0; ///< number of turns that used more tokens than reserved
     std::uint64_t contradictions = 0; ///< number of settlements refused because they contradict an earlier one
@@ -162,7 +173,8 @@
  */
 wire::command_result applyCommand(shard_state& state, const wire::command& command);
 
-/// Answers a read. @return program_status, history, call_status, program_list or turn_chain, or `refused`.
+/// Answers a read. @return program_status, history, call_status, program_list, turn_chain or stream_origin, or
+/// `refused`.
 wire::command_result query(const shard_state& state, const wire::query& query);
 
 /// @return the encoded state; equal states have equal encodings.
--- a/libs/core/src/controller/programs.cpp
+++ b/libs/core/src/controller/programs.cpp
@@ -126,7 +126,7 @@
     }
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(r.now - group.clockCountedAt);
     group.clockCountedAt += elapsed;
-    if (group.shard.budgets.empty() && group.shard.turns.empty()) {
+    if (group.shard.budgets.empty() && group.shard.turns.empty() && group.shard.streams.empty()) {
         return; // nothing is stamped with the clock, so it may stand still
     }
     // Time that is not committed counts for nothing: all is kept a little longer.
--- a/libs/core/src/forward/answers.cpp
+++ b/libs/core/src/forward/answers.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include <core/forward/match_route.hpp>
-#include <core/group.hpp>
 
 #include "attempts.hpp"
 #include "rate.hpp"
@@ -44,10 +43,9 @@
         return;
     }
     call.hasReservation = false;
-    const auto group = groupOfAccount(call.account, c.state.configuration.groupCount);
     const wire::settle_tokens command { call.account, call.request.programContext.program, call.request.attempt,
         tokensForwarded(c, call) };
-    controller_client::send(c.state.controllers, group, wire::command(command), "settle_tokens", c.now,
+    controller_client::send(c.state.controllers, accountGroup(c, call), wire::command(command), "settle_tokens", c.now,
         c.state.settings.settleTimeout, c.out);
 }
 
@@ -56,7 +54,7 @@
     removeFromRateQueue(c, call);
     stopUpstream(c, call, false);
     settleBudget(c, call);
-    for (const auto request : { call.reserveRequest, call.chainRequest, call.retainRequest }) {
+    for (const auto request : { call.reserveRequest, call.chainRequest, call.retainRequest, call.originRequest, call.originRecord.request }) {
         c.state.callByControllerRequest.erase(request);
     }
     c.state.expiries.erase({ call.expiresAt, call.exchange });
--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -7,6 +7,7 @@
 #include <core/forward/match_route.hpp>
 
 #include "answers.hpp"
+#include "stream_origin.hpp"
 #include "turns.hpp"
 
 namespace cuminledge::core::forward {
@@ -45,6 +46,9 @@
         requirements.model = call.request.model;
         requirements.parts = &call.request.parts;
         requirements.excluded = &call.triedServers;
+        if (!call.origin.service.empty()) {
+            requirements.softwareVersion = &call.origin.softwareVersion;
+        }
         return requirements;
     }
 
@@ -53,18 +57,19 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(call.expiresAt - c.now);
     }
 
-    void logResumption(context& c, const forward_call& call, const server_entry& server, const std::string& lastEvent)
+    void logResumption(context& c, const forward_call& call, const std::string& lastEvent)
     {
         const bool isByCaller = call.answer.lastEvent.empty();
         logCall(c, log_level::Info, "stream_resumed", call,
             { { "by", isByCaller ? "caller" : "gateway" }, { "server", call.server },
-                { "version", server.record.softwareVersion }, { "last_event", lastEvent },
+                { "version", call.softwareVersion }, { "last_event", lastEvent },
                 { "resumed_request", call.request.resumedAttempt } });
     }
 
     void send(context& c, forward_call& call, const server_entry& server)
     {
         call.server = server.record.backend;
+        call.softwareVersion = server.record.softwareVersion;
         call.triedServers.insert(call.server);
         call.upstream = "u" + std::to_string(c.state.nextUpstream++);
         call.step = call_step::Run;
@@ -88,7 +93,7 @@
         effect.timeLeft = timeLeft(c, call);
         effect.lastEvent = call.answer.lastEvent.empty() ? request.lastEvent : call.answer.lastEvent;
         if (!effect.lastEvent.empty()) {
-            logResumption(c, call, server, effect.lastEvent);
+            logResumption(c, call, effect.lastEvent);
         }
         c.out.emplace_back(std::move(effect));
     }
@@ -163,6 +168,9 @@
             beginAnswer(c, call, -1);
         }
         ++answer.eventCount;
+        if (call.origin.service.empty()) {
+            call.origin = { call.service, call.softwareVersion };
+        }
         if (!event.id.empty()) {
             answer.lastEvent = event.id;
         }
@@ -205,12 +213,16 @@
     }
     auto server = chooseServer(c.state.servers, describeRequirements(c, call), c.now, c.random);
     if (!server) {
-        const refusal none { error_code::Unavailable, "no server of " + call.service + " may take the request",
+        const auto version = call.origin.service.empty() ? "" : " at version " + call.origin.softwareVersion;
+        const refusal none { error_code::Unavailable, "no server of " + call.service + version + " may take the request",
             c.state.settings.defaultRetryAfter };
         failCall(c, call, none);
         return;
     }
-    send(c, call, c.state.servers.servers.at(*server));
+    const auto& entry = c.state.servers.servers.at(*server);
+    if (recordOrigin(c, call, entry.record.softwareVersion)) {
+        send(c, call, entry);
+    }
 }
 
 void onUpstreamHead(context& c, const upstream_head& head)
--- a/libs/core/src/forward/context.cpp
+++ b/libs/core/src/forward/context.cpp
@@ -1,5 +1,9 @@
 #include "context.hpp"
 
+#include <algorithm>
+
+#include <core/group.hpp>
+
 namespace cuminledge::core::forward {
 
 const char* toString(call_step step)
@@ -35,6 +39,17 @@
     c.out.emplace_back(record_metric { name, 1, false });
 }
 
+std::uint32_t accountGroup(const context& c, const forward_call& call)
+{
+    return groupOfAccount(call.account, c.state.configuration.groupCount);
+}
+
+std::chrono::milliseconds controllerTimeout(const context& c, const forward_call& call)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.expiresAt - c.now);
+    return std::clamp(left, std::chrono::milliseconds(1), c.state.settings.controllerTimeout);
+}
+
 std::chrono::milliseconds age(const context& c, const forward_call& call)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(c.now - call.arrived);
--- a/libs/core/src/forward/context.hpp
+++ b/libs/core/src/forward/context.hpp
@@ -27,4 +27,10 @@
 /// @return the time since the request arrived.
 std::chrono::milliseconds age(const context& c, const forward_call& call);
 
+/// @return the replication group that holds the state of the call's account.
+std::uint32_t accountGroup(const context& c, const forward_call& call);
+
+/// @return the longest time to wait for the controllers on behalf of the call.
+std::chrono::milliseconds controllerTimeout(const context& c, const forward_call& call);
+
 } // namespace cuminledge::core::forward
--- a/libs/core/src/forward/server_table.cpp
+++ b/libs/core/src/forward/server_table.cpp
@@ -57,11 +57,17 @@
         }
     }
 
+    bool hasVersion(const wire::backend_record& record, const std::string* softwareVersion)
+    {
+        return softwareVersion == nullptr || (!softwareVersion->empty() && record.softwareVersion == *softwareVersion);
+    }
+
     bool isEligible(const server_entry& entry, const server_requirements& requirements)
     {
         const auto& record = entry.record;
         const bool isExcluded = requirements.excluded != nullptr && requirements.excluded->contains(record.backend);
-        return record.service == requirements.service && !entry.isGone && !record.draining && !isExcluded;
+        return record.service == requirements.service && hasVersion(record, requirements.softwareVersion) && !entry.isGone
+            && !record.draining && !isExcluded;
     }
 
     double estimateCostMs(const server_table& table, const server_entry& entry, const server_requirements& requirements)
--- a/libs/core/src/forward/turns.cpp
+++ b/libs/core/src/forward/turns.cpp
@@ -1,12 +1,13 @@
 #include "turns.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <core/forward/match_route.hpp>
-#include <core/group.hpp>
 
 #include "answers.hpp"
 #include "attempts.hpp"
+#include "stream_origin.hpp"
 
 namespace cuminledge::core::forward {
 
@@ -17,17 +18,6 @@
     constexpr std::uint32_t firstSuccess = 200;
     constexpr std::uint32_t lastSuccess = 299;
 
-    std::uint32_t groupOf(const context& c, const forward_call& call)
-    {
-        return groupOfAccount(call.account, c.state.configuration.groupCount);
-    }
-
-    std::chrono::milliseconds requestTimeout(const context& c, const forward_call& call)
-    {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.expiresAt - c.now);
-        return std::clamp(left, std::chrono::milliseconds(1), c.state.settings.controllerTimeout);
-    }
-
     bool hasBudget(const forward_call& call)
     {
         const auto& place = call.request.programContext;
@@ -39,8 +29,8 @@
         const auto& request = call.request;
         const wire::reserve_tokens command { call.account, request.programContext.program, request.attempt,
             request.maxOutputTokens, request.programContext.budgetTokens, std::max(call.route.retention, minRetention) };
-        call.reserveRequest = controller_client::send(c.state.controllers, groupOf(c, call),
-            wire::command(command), "reserve_tokens", c.now, requestTimeout(c, call), c.out);
+        call.reserveRequest = controller_client::send(c.state.controllers, accountGroup(c, call),
+            wire::command(command), "reserve_tokens", c.now, controllerTimeout(c, call), c.out);
         c.state.callByControllerRequest[call.reserveRequest] = call.exchange;
     }
 
@@ -49,8 +39,8 @@
         ++c.state.counters.chainsRead;
         call.isChainRead = true;
         wire::read_chain query { call.account, missing, {} };
-        call.chainRequest = controller_client::send(c.state.controllers, groupOf(c, call), wire::query(query),
-            "read_chain", c.now, requestTimeout(c, call), c.out);
+        call.chainRequest = controller_client::send(c.state.controllers, accountGroup(c, call), wire::query(query),
+            "read_chain", c.now, controllerTimeout(c, call), c.out);
         c.state.callByControllerRequest[call.chainRequest] = call.exchange;
     }
 
@@ -71,7 +61,7 @@
 
     void startIfPrepared(context& c, forward_call& call)
     {
-        if (call.reserveRequest == 0 && call.chainRequest == 0) {
+        if (call.reserveRequest == 0 && call.chainRequest == 0 && call.originRequest == 0) {
             startAttempt(c, call);
         }
     }
@@ -134,6 +124,37 @@
         startIfPrepared(c, call);
     }
 
+    void onOriginRead(context& c, forward_call& call, const wire::command_result& outcome)
+    {
+        if (const auto problem = applyOrigin(c, call, outcome)) {
+            failCall(c, call, *problem);
+            return;
+        }
+        startIfPrepared(c, call);
+    }
+
+    /// A stream whose record is missing can't be resumed by the caller, but it is served.
+    void onOriginRecorded(context& c, forward_call& call, const result<wire::command_result>& outcome)
+    {
+        call.originRecord.request = 0;
+        const bool isAwaited = std::exchange(call.originRecord.isAwaited, false);
+        const auto* refused = outcome ? std::get_if<wire::refused>(&*outcome) : nullptr;
+        const bool isRecorded = outcome && refused == nullptr;
+        if (!isRecorded) {
+            logCall(c, log_level::Warning, "stream_not_recorded", call,
+                { { "version", call.originRecord.softwareVersion },
+                    { "reason", refused == nullptr ? outcome.error().message : refused->message } });
+        }
+        if (!isAwaited) {
+            return;
+        }
+        if (isRecorded) {
+            startAttempt(c, call);
+        } else {
+            failCall(c, call, { error_code::Unavailable, "the software version of the stream can't be recorded", c.state.settings.defaultRetryAfter });
+        }
+    }
+
     void onRetained(context& c, forward_call& call, const wire::command_result& outcome)
     {
         call.retainRequest = 0;
@@ -164,6 +185,12 @@
 void prepare(context& c, forward_call& call)
 {
     call.step = call_step::Prepare;
+    if (resumesStream(call)) {
+        if (const auto problem = requestOrigin(c, call)) {
+            failCall(c, call, *problem);
+            return;
+        }
+    }
     loadChain(c, call);
     if (hasBudget(call)) {
         reserve(c, call);
@@ -179,7 +206,9 @@
     }
     auto& call = c.state.calls.at(waiting->second);
     c.state.callByControllerRequest.erase(waiting);
-    if (!answer.outcome) {
+    if (answer.request == call.originRecord.request) {
+        onOriginRecorded(c, call, answer.outcome);
+    } else if (!answer.outcome) {
         // The outcome of the reservation is unknown; settling it as unused releases it in case it was granted.
         call.hasReservation = call.hasReservation || answer.request == call.reserveRequest;
         failOnError(c, call, answer.outcome.error());
@@ -187,6 +216,8 @@
         onReserved(c, call, *answer.outcome);
     } else if (answer.request == call.chainRequest) {
         onChainRead(c, call, *answer.outcome);
+    } else if (answer.request == call.originRequest) {
+        onOriginRead(c, call, *answer.outcome);
     } else if (answer.request == call.retainRequest) {
         onRetained(c, call, *answer.outcome);
     }
@@ -209,8 +240,8 @@
     command.program = request.programContext.program;
     command.used = tokensForwarded(c, call);
     call.hasReservation = false;
-    call.retainRequest = controller_client::send(c.state.controllers, groupOf(c, call), wire::command(command),
-        "retain_turn", c.now, requestTimeout(c, call), c.out);
+    call.retainRequest = controller_client::send(c.state.controllers, accountGroup(c, call), wire::command(command),
+        "retain_turn", c.now, controllerTimeout(c, call), c.out);
     c.state.callByControllerRequest[call.retainRequest] = call.exchange;
 }
 
--- a/libs/core/src/store/group.cpp
+++ b/libs/core/src/store/group.cpp
@@ -14,7 +14,7 @@
     constexpr bool isCallCommand = std::is_same_v<Command, wire::record_call> || std::is_same_v<Command, wire::dispatch_call> || std::is_same_v<Command, wire::settle_call>;
 
     template <typename Command>
-    constexpr bool isAccountCommand = std::is_same_v<Command, wire::reserve_rate> || std::is_same_v<Command, wire::reserve_tokens> || std::is_same_v<Command, wire::settle_tokens> || std::is_same_v<Command, wire::retain_turn>;
+    constexpr bool isAccountCommand = std::is_same_v<Command, wire::reserve_rate> || std::is_same_v<Command, wire::reserve_tokens> || std::is_same_v<Command, wire::settle_tokens> || std::is_same_v<Command, wire::retain_turn> || std::is_same_v<Command, wire::record_stream>;
 
 } // namespace
 
@@ -45,7 +45,7 @@
             using type = std::decay_t<decltype(alternative)>;
             if constexpr (std::is_same_v<type, wire::read_call>) {
                 return groupOfCall(alternative.account, alternative.call, groupCount);
-            } else if constexpr (std::is_same_v<type, wire::read_chain>) {
+            } else if constexpr (std::is_same_v<type, wire::read_chain> || std::is_same_v<type, wire::read_stream>) {
                 return groupOfAccount(alternative.account, groupCount);
             } else if constexpr (std::is_same_v<type, wire::read_ended_programs>) {
                 return alternative.programs.empty() ? 1 : groupOfProgram(alternative.programs.front(), groupCount);
--- a/libs/core/src/store/shard_snapshot.cpp
+++ b/libs/core/src/store/shard_snapshot.cpp
@@ -25,8 +25,30 @@
         MSGPACK_DEFINE(clock)
     };
 
+    /// A turn whose text is in a piece. A piece isn't changed when the turn's expiry moves, so that stands here.
+    struct turn_place {
+        std::string account;
+        std::string turn;
+        std::uint64_t piece = 0;
+        std::chrono::milliseconds expires { 0 };
+        MSGPACK_DEFINE(account, turn, piece, expires)
+    };
+
+    /// Alternatives are only ever appended: stored records hold their numbers. A turn_place is in images alone.
     using shard_record = std::variant<shard_header, program, call_record, wire::reserve_rate, clock_entry,
-        program_budget, retained_turn>;
+        program_budget, retained_turn, turn_place, recorded_stream>;
+
+    result<void> restore(shard_state& /*state*/, const turn_place& /*place*/)
+    {
+        return failure(error_code::Corrupt, "a snapshot without pieces places a turn in one", decodeStep);
+    }
+
+    result<void> restore(shard_state& state, recorded_stream stream)
+    {
+        const call_key key(stream.account, stream.attempt);
+        state.streams[key] = std::move(stream);
+        return {};
+    }
 
     result<void> restore(shard_state& state, const clock_entry& entry)
     {
@@ -88,18 +110,6 @@
         return {};
     }
 
-    /// A turn whose text is in a piece. A piece isn't changed when the turn's expiry moves, so that stands here.
-    struct turn_place {
-        std::string account;
-        std::string turn;
-        std::uint64_t piece = 0;
-        std::chrono::milliseconds expires { 0 };
-        MSGPACK_DEFINE(account, turn, piece, expires)
-    };
-
-    using image_record = std::variant<shard_header, program, call_record, wire::reserve_rate, clock_entry,
-        program_budget, retained_turn, turn_place>;
-
     using place_map = std::map<call_key, turn_place>;
 
 } // namespace
@@ -109,7 +119,7 @@
 static std::size_t estimatedBytes(const shard_state& state)
 {
     constexpr std::size_t bytesPerRecord = 256;
-    std::size_t bytes = bytesPerRecord * (state.programs.size() + state.calls.size() + state.budgets.size() + 1);
+    std::size_t bytes = bytesPerRecord * (state.programs.size() + state.calls.size() + state.budgets.size() + state.streams.size() + 1);
     for (const auto& [key, turn] : state.turns) {
         bytes += bytesPerRecord + turn.text.size();
     }
@@ -134,6 +144,9 @@
     for (const auto& [key, budget] : state.budgets) {
         appendRecord(bytes, shard_record(budget));
     }
+    for (const auto& [key, stream] : state.streams) {
+        appendRecord(bytes, shard_record(stream));
+    }
 }
 
 std::string encodeSnapshot(const shard_state& state)
@@ -238,7 +251,7 @@
     }
     appendAllButTurns(image.state, state);
     for (const auto& [key, turn] : state.turns) {
-        appendRecord(image.state, image_record(turn_place { turn.account, turn.turn, turn.piece, turn.expires }));
+        appendRecord(image.state, shard_record(turn_place { turn.account, turn.turn, turn.piece, turn.expires }));
     }
     return image;
 }
@@ -251,23 +264,15 @@
     }
     shard_state state;
     place_map places;
-    const auto visit = [&](image_record record) -> result<void> {
+    const auto visit = [&](shard_record record) -> result<void> {
         if (auto* place = std::get_if<turn_place>(&record)) {
             const call_key key(place->account, place->turn);
             places[key] = std::move(*place);
             return {};
         }
-        return std::visit(
-            [&state](auto& alternative) -> result<void> {
-                if constexpr (std::is_same_v<std::decay_t<decltype(alternative)>, turn_place>) {
-                    return {};
-                } else {
-                    return restore(state, std::move(alternative));
-                }
-            },
-            record);
+        return std::visit([&state](auto& alternative) { return restore(state, std::move(alternative)); }, record);
     };
-    if (auto read = readRecords<image_record>(bytes, visit); !read) {
+    if (auto read = readRecords<shard_record>(bytes, visit); !read) {
         return tl::unexpected(read.error());
     }
     table.textBytes.clear();
--- a/libs/core/src/store/shard_state.cpp
+++ b/libs/core/src/store/shard_state.cpp
@@ -8,6 +8,7 @@
 #include <store/call_commands.hpp>
 #include <store/program_commands.hpp>
 #include <store/refusal.hpp>
+#include <store/stream_commands.hpp>
 #include <store/turn_commands.hpp>
 
 namespace cuminledge::core::store {
--- a/libs/core/src/store/turn_commands.cpp
+++ b/libs/core/src/store/turn_commands.cpp
@@ -3,19 +3,13 @@
 #include <algorithm>
 
 #include <core/store/control_state.hpp>
+#include <store/expiry.hpp>
 #include <store/refusal.hpp>
 
 namespace cuminledge::core::store {
 
 namespace {
 
-    /// Returns the expiry time for a retention that starts now. The clock only advances once per interval, so it may
-    /// lag by one interval; a second interval covers the time until an advance is committed.
-    std::chrono::milliseconds expiryOf(const shard_state& state, std::chrono::milliseconds retention)
-    {
-        return state.clock + retention + 2 * clockInterval;
-    }
-
     bool isName(const std::string& text)
     {
         return !text.empty() && text.size() <= maxIdBytes;
@@ -135,6 +129,7 @@
     state.clock += std::max(command.elapsed, std::chrono::milliseconds(0));
     std::erase_if(state.budgets, [&](const auto& entry) { return entry.second.expires <= state.clock; });
     std::erase_if(state.turns, [&](const auto& entry) { return entry.second.expires <= state.clock; });
+    std::erase_if(state.streams, [&](const auto& entry) { return entry.second.expires <= state.clock; });
     return wire::acknowledged {};
 }
 
--- a/libs/core/tests/forward_gateway.hpp
+++ b/libs/core/tests/forward_gateway.hpp
@@ -62,7 +62,8 @@
         return table;
     }
 
-    static wire::backend_record makeServer(const std::string& id, const std::string& service)
+    static wire::backend_record makeServer(
+        const std::string& id, const std::string& service, const std::string& softwareVersion = "v1")
     {
         wire::backend_record record;
         record.backend = id;
@@ -70,6 +71,7 @@
         record.service = service;
         record.address = id + ":80";
         record.failureDomain = "a";
+        record.softwareVersion = softwareVersion;
         return record;
     }
 
--- a/libs/wire/include/wire/commands.hpp
+++ b/libs/wire/include/wire/commands.hpp
@@ -248,11 +248,27 @@
     MSGPACK_DEFINE(group, elapsed)
 };
 
+//------------------------------------------------------------------------------------------------------------------
+// Streams that may be resumed (group of the client account)
+//------------------------------------------------------------------------------------------------------------------
+
+/// Records which servers may resume the stream that a request begins: the output of two software versions of a service
+/// does not fit together.
+struct record_stream {
+    std::string account; ///< may be empty: a public route
+    std::string attempt; ///< the request, which a caller that resumes the stream names
+    std::string service;
+    std::string softwareVersion;
+    std::uint32_t sequence = 0; ///< of the request's records; a higher one replaces a lower one
+    std::chrono::milliseconds retention { 0 };
+    MSGPACK_DEFINE(account, attempt, service, softwareVersion, sequence, retention)
+};
+
 /// Alternatives are only ever appended: log records hold their numbers.
 using command = std::variant<open_program, begin_turn, commit_turn, abandon_turn, end_program, record_call,
     dispatch_call, settle_call, reserve_rate, accept_manifest, issue_key, withdraw_key, drain_backend,
     register_orderer, report_crash, clear_fingerprint, accept_routes, reserve_tokens, settle_tokens, retain_turn,
-    advance_time, note_server>;
+    advance_time, note_server, record_stream>;
 
 //------------------------------------------------------------------------------------------------------------------
 // Reads, served by a leader that holds its lease
@@ -291,7 +307,14 @@
     MSGPACK_DEFINE(account, turn, held)
 };
 
-using query = std::variant<read_program, read_history, read_call, read_ended_programs, read_chain>;
+/// Where the stream of a request began.
+struct read_stream {
+    std::string account;
+    std::string attempt;
+    MSGPACK_DEFINE(account, attempt)
+};
+
+using query = std::variant<read_program, read_history, read_call, read_ended_programs, read_chain, read_stream>;
 
 //------------------------------------------------------------------------------------------------------------------
 // Results
@@ -407,8 +430,15 @@
     MSGPACK_DEFINE(links)
 };
 
+/// Only servers of this service and software version may resume the stream.
+struct stream_origin {
+    std::string service; ///< empty: no record of the stream is held
+    std::string softwareVersion;
+    MSGPACK_DEFINE(service, softwareVersion)
+};
+
 using command_result = std::variant<acknowledged, refused, program_status, turn_begun, history, call_status,
-    program_list, fencing_number, token_reservation, turn_chain>;
+    program_list, fencing_number, token_reservation, turn_chain, stream_origin>;
 
 } // namespace cuminledge::wire
 
