HTTP client: an ended deadline no longer fails the request that came after it

What callers saw (found by reading, then shown by the tests): a request that took a pooled connection in the turn of the event loop in which the connection's unused time ran out failed with "unused" after it had been sent, so that it may have run. A connection that came up in the turn in which the connect timeout ran out failed the same way, after its request was sent.

Cause: a steady_timer that has expired has its handler queued; cancel() doesn't take it back, and it runs without an error. The check that the expiry lies ahead recognises a deadline that was set anew, not one that was cancelled, and restartSilence() only cancels where a request has no silence timeout, as those of the forwarding gateway. It would also miss a deadline set anew that has run out itself by then.

Ruled out: finish() alone; what follows its cancel() either sets a new deadline or marks the connection closed.

Change: deadline_timer numbers its deadlines, and a handler acts only for the one still in force.

--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -94,7 +94,7 @@
 
 client_connection::client_connection(boost::asio::io_context& context, std::string address, connection_owner& owner)
     : m_socket(context)
-    , m_deadline(context)
+    , m_deadline(context.get_executor())
     , m_address(std::move(address))
     , m_owner(&owner)
     , m_parser(std::make_unique<parser_state>())
@@ -342,7 +342,7 @@
     auto& parser = *m_parser->parser;
     const bool reusable = parser.keep_alive() && m_parser->buffer.size() == 0 && m_sending.empty();
     m_busy = false;
-    m_deadline.cancel();
+    m_deadline.clear();
     m_parser->parser.reset();
     const auto owner = m_owner;
     const std::string request = std::exchange(m_request, {}).request;
@@ -425,7 +425,7 @@
     m_owner = nullptr;
     boost::system::error_code ignored;
     m_socket.close(ignored);
-    m_deadline.cancel();
+    m_deadline.clear();
 }
 
 void client_connection::restartSilence()
@@ -433,16 +433,14 @@
     if (m_request.silenceTimeout.count() != 0) {
         setDeadline(m_request.silenceTimeout, "silent past its timeout");
     } else {
-        m_deadline.cancel();
+        m_deadline.clear();
     }
 }
 
 void client_connection::setDeadline(std::chrono::milliseconds timeout, const char* message)
 {
-    m_deadline.expires_after(timeout);
-    m_deadline.async_wait([self = shared_from_this(), message](auto cancelled) {
-        const bool setAnew = self->m_deadline.expiry() > std::chrono::steady_clock::now();
-        if (!cancelled && !self->m_closed && !setAnew) {
+    m_deadline.set(timeout, [self = shared_from_this(), message] {
+        if (!self->m_closed) {
             self->onTimeout(message);
         }
     });
--- a/libs/net/src/client_connection.hpp
+++ b/libs/net/src/client_connection.hpp
@@ -8,10 +8,10 @@
 #include <string_view>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <net/http_client.hpp>
 
+#include "deadline_timer.hpp"
 #include "sse_parser.hpp"
 
 namespace cuminledge::net {
@@ -80,7 +80,7 @@
     [[nodiscard]] std::chrono::milliseconds unusedTimeout() const;
 
     boost::asio::ip::tcp::socket m_socket;
-    boost::asio::steady_timer m_deadline;
+    deadline_timer m_deadline;
     std::string m_address;
     connection_owner* m_owner;
     std::unique_ptr<parser_state> m_parser;
--- a/libs/net/tests/test_http_client.cpp
+++ b/libs/net/tests/test_http_client.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds shortTimeout { 20 };
+
 /// What became of one request.
 struct outcome {
     std::uint32_t status = 0;
@@ -38,6 +40,7 @@
 struct client_fixture {
     context_thread thread;
     std::map<std::string, outcome> outcomes;
+    std::function<void(const std::string& id)> whenFinished; ///< called on the context's thread
     std::optional<http_client> client;
 
     explicit client_fixture(http_client_settings settings = {})
@@ -47,7 +50,12 @@
                 http_client_handlers {
                     [this](const std::string& id, response_head&& head) { outcomes[id].status = head.status; },
                     [this](const std::string& id, std::string&& data) { outcomes[id].data.push_back(std::move(data)); },
-                    [this](const std::string& id) { outcomes[id].finished = true; },
+                    [this](const std::string& id) {
+                        outcomes[id].finished = true;
+                        if (whenFinished) {
+                            whenFinished(id);
+                        }
+                    },
                     [this](const std::string& id, request_phase phase, const std::string& message) {
                         outcomes[id].failed = phase;
                         outcomes[id].message = message;
@@ -225,6 +233,48 @@
     CHECK(problem == boost::asio::error::would_block);
 }
 
+// Guards against failing a request by the expired "unused" deadline of the pooled connection that it was sent on.
+TEST_CASE("a pooled connection is kept if a request takes it in the turn in which its unused time runs out")
+{
+    client_fixture fixture({ .pooledIdleTimeout = shortTimeout });
+    raw_server server;
+    boost::asio::steady_timer earlier(fixture.thread.context());
+    fixture.whenFinished = [&](const std::string& id) {
+        if (id != "a") {
+            return;
+        }
+        // Both timers have expired once the reactor runs again; it queues the handler of the earlier one first.
+        earlier.expires_after(std::chrono::milliseconds(0));
+        earlier.async_wait([&](auto) { fixture.client->start(makeRequest("b", server.address())); });
+        std::this_thread::sleep_for(2 * shortTimeout);
+    };
+    fixture.start(makeRequest("a", server.address()));
+    auto socket = server.accept();
+    raw_server::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    raw_server::read(socket);
+    raw_server::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    const auto taken = fixture.wait("b");
+    INFO("failed: " << taken.message);
+    CHECK(taken.finished);
+    CHECK(fixture.counts().reused == 1);
+}
+
+// Guards against failing a request by the expired connect deadline although its connection is up.
+TEST_CASE("a connection that comes up in the turn in which the connect timeout runs out serves its request")
+{
+    client_fixture fixture({ .connectTimeout = shortTimeout });
+    raw_server server;
+    fixture.thread.call([&] {
+        fixture.client->start(makeRequest("a", server.address()));
+        std::this_thread::sleep_for(2 * shortTimeout);
+    });
+    auto socket = server.accept();
+    raw_server::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    const auto connected = fixture.wait("a");
+    INFO("failed: " << connected.message);
+    CHECK(connected.finished);
+}
+
 TEST_CASE("cancel closes the connection and calls no handler")
 {
     client_fixture fixture;
