HTTP session: the ended read deadline no longer takes a request under way

What callers saw (shown by the test): a request whose last bytes came in the turn of the event loop in which its read timeout ran out was dispatched, and then its connection was closed with "timeout": the exchange was lost, although it was being served.

Cause: dispatch() cancels the read deadline, which doesn't take back a handler that is queued already. onDeadline() let it through, since the expiry is the one set at the request's first byte, and so past. By reading, the same holds for the write deadline of a stream: onAllWritten() only cancels it while the exchange is open.

Ruled out: the other ways into dispatch() and onAllWritten(), which set a new deadline in the same handler.

Change: the session uses deadline_timer, whose handlers act only for the deadline in force; the comparison of the expiry with the clock goes.

--- a/libs/net/src/http_session.cpp
+++ b/libs/net/src/http_session.cpp
@@ -206,7 +206,7 @@
     }
     request.body = std::move(message.body());
     m_phase = phase::Answering;
-    m_deadline.cancel();
+    m_deadline.clear();
     m_exchange = m_owner->beginExchange(m_connection);
     request.exchange = m_exchange;
     m_owner->deliver(std::move(request));
@@ -449,7 +449,7 @@
     if (m_phase != phase::Answering) {
         return;
     }
-    m_deadline.cancel();
+    m_deadline.clear();
     if (m_exchange != 0) {
         return;
     }
@@ -501,7 +501,7 @@
     countCut();
     boost::system::error_code ignored;
     m_socket.close(ignored);
-    m_deadline.cancel();
+    m_deadline.clear();
     m_queued.clear();
     m_owner->endSession(m_connection);
     if (m_exchange != 0) {
@@ -522,9 +522,8 @@
 
 void http_session::setDeadline(std::chrono::milliseconds timeout)
 {
-    m_deadline.expires_after(timeout);
-    m_deadline.async_wait([self = shared_from_this()](auto cancelled) {
-        if (!cancelled && !self->m_closed) {
+    m_deadline.set(timeout, [self = shared_from_this()] {
+        if (!self->m_closed) {
             self->onDeadline();
         }
     });
@@ -532,9 +531,6 @@
 
 void http_session::onDeadline()
 {
-    if (m_deadline.expiry() > std::chrono::steady_clock::now()) {
-        return; // set anew while this expiry was on its way
-    }
     if (m_writePending) {
         ++m_owner->tally().slowReaders;
     } else if (m_phase != phase::Lingering) {
--- a/libs/net/src/http_session.hpp
+++ b/libs/net/src/http_session.hpp
@@ -7,10 +7,11 @@
 #include <string_view>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <net/http_server.hpp>
 
+#include "deadline_timer.hpp"
+
 namespace cuminledge::net {
 
 /// What a session needs of its listener.
@@ -108,7 +109,7 @@
     void onDeadline();
 
     boost::asio::ip::tcp::socket m_socket;
-    boost::asio::steady_timer m_deadline;
+    deadline_timer m_deadline;
     std::uint64_t m_connection;
     std::shared_ptr<session_owner> m_owner;
     std::unique_ptr<parser_state> m_parser;
--- a/libs/net/tests/test_http_server.cpp
+++ b/libs/net/tests/test_http_server.cpp
@@ -158,6 +158,27 @@
     CHECK(fixture.gone.size() == 1);
 }
 
+// Guards against losing a request under way by the expired deadline for reading it.
+TEST_CASE("a request whose last bytes come in the turn in which the read timeout runs out is answered")
+{
+    http_server_settings settings;
+    settings.readTimeout = std::chrono::milliseconds(500);
+    server_fixture fixture(settings);
+    raw_client client(fixture.port);
+    client.send("POST /hold HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n");
+    REQUIRE(client.readUntil("\r\n\r\n").find(" 100 ") != std::string::npos);
+    fixture.thread.call([] {}); // the handler of that write, which sets the deadline, is ahead of the next call
+    fixture.thread.call([&] {
+        client.send("abc");
+        std::this_thread::sleep_for(settings.readTimeout);
+    });
+    const auto exchange = fixture.waitHeld(1);
+    fixture.thread.call([&] { fixture.server->reply(exchange, { 200, "text/plain", {}, "answer" }); });
+    CHECK(client.readUntil("answer").find(" 200 ") != std::string::npos);
+    CHECK(fixture.thread.call([&] { return fixture.gone.empty(); }));
+    CHECK(fixture.thread.call([&] { return fixture.server->counts().timeouts; }) == 0);
+}
+
 TEST_CASE("a stream arrives event by event and ends in order, or is cut off by abort")
 {
     server_fixture fixture;
