Peer links: the ended handshake deadline no longer closes a verified link

What peers saw (shown by the test): a link that was verified in the turn of the event loop in which its handshake timeout ran out was reported connected and closed at once, with "no hello within the handshake timeout".

Cause: handleProof() cancels the handshake timer, which doesn't take back a handler that is queued already; the handler closed the link whatever its state. By reading, the handler could also close a link that was refused in that turn, rather than leave it the time to drain in which the peer reads the reason.

Change: the handshake uses deadline_timer, whose handlers act only for the deadline in force. It is set where its wait starts, in dial() and start(), which both follow the constructor at once.

--- a/libs/net/src/peer_link.cpp
+++ b/libs/net/src/peer_link.cpp
@@ -36,16 +36,12 @@
     , m_lastReceived(owner.now())
     , m_lastSent(owner.now())
 {
-    m_handshake.expires_after(owner.settings().handshakeTimeout);
 }
 
 void peer_link::dial(const boost::asio::ip::tcp::endpoint& endpoint)
 {
-    m_handshake.async_wait([self = shared_from_this()](auto cancelled) {
-        if (!cancelled) {
-            self->close("no connection within the handshake timeout");
-        }
-    });
+    m_handshake.set(m_owner->settings().handshakeTimeout,
+        [self = shared_from_this()] { self->close("no connection within the handshake timeout"); });
     m_socket.async_connect(endpoint, [self = shared_from_this()](auto problem) {
         if (self->m_closed) {
             return;
@@ -61,11 +57,8 @@
 void peer_link::start()
 {
     if (!m_isDialler) {
-        m_handshake.async_wait([self = shared_from_this()](auto cancelled) {
-            if (!cancelled) {
-                self->close("no hello within the handshake timeout");
-            }
-        });
+        m_handshake.set(m_owner->settings().handshakeTimeout,
+            [self = shared_from_this()] { self->close("no hello within the handshake timeout"); });
     }
     boost::system::error_code ignored;
     m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
@@ -180,7 +173,7 @@
     if (!equalConstantTime(body, proofOf(!m_isDialler, m_peerHello, m_ownHello))) {
         return "wrong secret";
     }
-    m_handshake.cancel();
+    m_handshake.clear();
     m_reader.setLimit(wire::maxFrameBytes);
     m_up = true;
     auto fault = m_owner->onVerified(*this);
@@ -218,12 +211,7 @@
         { { "peer", m_peer.name }, { "address", remoteAddress() }, { "reason", reason } });
     m_refused = true;
     m_up = false;
-    m_handshake.expires_after(m_owner->settings().handshakeTimeout);
-    m_handshake.async_wait([self = shared_from_this()](auto cancelled) {
-        if (!cancelled) {
-            self->close("refused");
-        }
-    });
+    m_handshake.set(m_owner->settings().handshakeTimeout, [self = shared_from_this()] { self->close("refused"); });
     queue(frame_kind::Refusal, reason);
     const auto owner = std::exchange(m_owner, nullptr);
     if (owner != nullptr) {
@@ -321,7 +309,7 @@
     const auto self = shared_from_this();
     boost::system::error_code ignored;
     m_socket.close(ignored);
-    m_handshake.cancel();
+    m_handshake.clear();
     m_queued.clear();
     const auto owner = std::exchange(m_owner, nullptr);
     if (owner != nullptr) {
--- a/libs/net/src/peer_link.hpp
+++ b/libs/net/src/peer_link.hpp
@@ -6,10 +6,10 @@
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <net/peer_transport.hpp>
 
+#include "deadline_timer.hpp"
 #include "frame.hpp"
 
 namespace cuminledge::net {
@@ -94,7 +94,7 @@
     [[nodiscard]] std::string remoteAddress() const;
 
     boost::asio::ip::tcp::socket m_socket;
-    boost::asio::steady_timer m_handshake;
+    deadline_timer m_handshake;
     std::uint64_t m_id;
     bool m_isDialler;
     std::string m_expectedPeer; ///< empty on an accepted link
--- a/libs/net/tests/test_peer_transport.cpp
+++ b/libs/net/tests/test_peer_transport.cpp
@@ -7,6 +7,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <base/digest.hpp>
+
 #include "frame.hpp"
 #include "loopback.hpp"
 
@@ -223,6 +225,31 @@
     CHECK(readFrame(client, frame_kind::Refusal) == "unknown frame version 9, expected 1");
 }
 
+// Guards against closing a verified link by the expired deadline of its handshake.
+TEST_CASE("a link that is verified in the turn in which its handshake timeout runs out stays up")
+{
+    context_thread thread;
+    auto settings = named("server");
+    settings.handshakeTimeout = std::chrono::milliseconds(1'000);
+    node server(thread, settings);
+    raw_client client(server.port);
+    const auto serverHello = readFrame(client, frame_kind::Hello);
+    const auto ownHello = makeHello("client");
+    client.send(encodeFrame(frame_kind::Hello, ownHello));
+    REQUIRE(readFrame(client, frame_kind::Proof).size() == 64);
+    const auto proof = hmacSha256Hex(
+        settings.secret, "cuminledge dialler " + std::to_string(ownHello.size()) + " " + ownHello + serverHello);
+    thread.call([&] {
+        client.send(encodeFrame(frame_kind::Proof, proof));
+        std::this_thread::sleep_for(settings.handshakeTimeout);
+    });
+    REQUIRE(server.saw("+client@1"));
+    client.send(encodeFrame(frame_kind::Message, wire::encodeVariant(wire::message(wire::attempt_cancel { "after" }))));
+    REQUIRE(thread.waitFor([&] { return server.log.size() >= 2; }));
+    INFO("closed: " << server.lastReason);
+    CHECK(server.log == std::vector<std::string> { "+client@1", "after" });
+}
+
 TEST_CASE("a silent peer is found by heartbeats and closed, a quiet one is kept")
 {
     context_thread thread;
