Peer transport: a dial that was planned before a disconnect no longer runs after it

Cause, found by reading: disconnect() cancels the dial timer and removes the peer, but a handler that is queued already still runs, with the peer's name. If connect() names the peer again in that turn, the handler dials for the new entry and marks its own plan as done while its timer still runs.

Evidence: none by a run. The early dial is not told apart from the one that connect() plans at once, so there is no test of it here; the test of deadline_timer covers the timer that is destroyed before its handler runs.

Change: the dial timer is a deadline_timer as well, which also makes the code shorter.

--- a/libs/net/src/peer_transport.cpp
+++ b/libs/net/src/peer_transport.cpp
@@ -17,6 +17,7 @@
 #include <net/address.hpp>
 #include <net/tcp_listener.hpp>
 
+#include "deadline_timer.hpp"
 #include "peer_link.hpp"
 
 namespace cuminledge::net {
@@ -28,7 +29,7 @@
     /// One process that is connected or is to be.
     struct peer_state {
         explicit peer_state(boost::asio::io_context& context)
-            : dialTimer(context)
+            : dialTimer(context.get_executor())
         {
         }
 
@@ -40,7 +41,7 @@
         bool dialPlanned = false;
         std::chrono::milliseconds backoff { 0 };
         time_point upSince;
-        boost::asio::steady_timer dialTimer;
+        deadline_timer dialTimer;
         peer_counts ended; ///< of links that are gone
     };
 
@@ -96,7 +97,7 @@
         }
         const auto peer = std::move(found->second);
         m_peers.erase(found);
-        peer->dialTimer.cancel();
+        peer->dialTimer.clear();
         if (peer->dialled) {
             peer->links.push_back(peer->dialled);
         }
@@ -247,12 +248,7 @@
         if (std::exchange(peer.dialPlanned, true)) {
             return;
         }
-        peer.dialTimer.expires_after(delay);
-        peer.dialTimer.async_wait([self = shared_from_this(), name](auto cancelled) {
-            if (!cancelled) {
-                self->dial(name);
-            }
-        });
+        peer.dialTimer.set(delay, [self = shared_from_this(), name] { self->dial(name); });
     }
 
     void dial(const std::string& name)
