Refuse the calls that are left when a gateway stops at its limit

Callers would see: a request whose gateway reaches its shutdown limit, or is stopped at once, ends with a closed connection and no word, also where it was never sent to a server. The gateway of chats refuses such calls; the forwarding one ended the process alone.

Cause: the limit ended the process, not the calls.

Change: calls that can't have run are refused as not run, the others as possibly run or aborted. A gateway that has only connections left at its limit ends with exit code 0, as nothing was cut.

The test "A gateway that stops refuses the calls that are left" fails on the code before, which sends no refusal.

--- a/libs/core/src/forward/lifecycle.cpp
+++ b/libs/core/src/forward/lifecycle.cpp
@@ -1,5 +1,7 @@
 #include "lifecycle.hpp"
 
+#include <vector>
+
 #include "answers.hpp"
 #include "attempts.hpp"
 #include "rate.hpp"
@@ -16,6 +18,20 @@
         c.out.emplace_back(stop_process { exitCode });
     }
 
+    /// Refuses or aborts every call, so that no caller waits for an answer that never comes.
+    /// @return how many calls there were.
+    std::size_t endCalls(context& c)
+    {
+        std::vector<exchange_id> exchanges;
+        for (const auto& [exchange, call] : c.state.calls) {
+            exchanges.push_back(exchange);
+        }
+        for (const auto exchange : exchanges) {
+            failCall(c, c.state.calls.at(exchange), { error_code::Unavailable, "the gateway stops", c.state.settings.defaultRetryAfter });
+        }
+        return exchanges.size();
+    }
+
 } // namespace
 
 void updateReadiness(context& c)
@@ -41,7 +57,7 @@
 void beginShutdown(context& c, bool immediately)
 {
     if (immediately) {
-        stop(c, c.state.calls.empty() ? 0 : 1);
+        stop(c, endCalls(c) == 0 ? 0 : 1);
         return;
     }
     if (c.state.shutdown != shutdown_phase::Running) {
@@ -69,7 +85,7 @@
     if (c.state.isDrained && c.state.calls.empty() && c.state.controllers.pending.empty()) {
         stop(c, 0);
     } else if (c.now >= c.state.shutdownStepAt) {
-        stop(c, 1);
+        stop(c, endCalls(c) == 0 ? 0 : 1);
     }
 }
 
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -262,6 +262,7 @@
     CHECK(gateway.takeEffect<stop_process>());
 }
 
+// Guards against a stop that waits for ever, or fails, because a caller keeps its connection open.
 TEST_CASE("A gateway that shuts down waits for its connections up to a limit", "[forward]")
 {
     forward_gateway gateway;
@@ -271,7 +272,41 @@
     gateway.advance(gateway.state.settings.shutdownLimit - 1ms);
     CHECK_FALSE(gateway.takeEffect<stop_process>());
     gateway.advance(1ms);
-    CHECK(gateway.takeEffect<stop_process>());
+    CHECK(gateway.takeEffect<stop_process>()->exitCode == 0);
+}
+
+// Guards against calls that a stop leaves without an answer or a refusal.
+TEST_CASE("A gateway that stops refuses the calls that are left", "[forward]")
+{
+    forward_gateway gateway;
+    gateway.table.routes.back().timeout = 60s;
+    gateway.table.routes[1].timeout = 60s;
+    gateway.configure();
+    auto payment = gateway.makeRequest("/pay/1");
+    payment.timeLeft = 60s;
+    auto turn = gateway.makeRequest("/draft/1");
+    turn.timeLeft = 60s;
+    turn.programContext.program = "p";
+    turn.programContext.budgetTokens = 100;
+    gateway.dispatch(payment);
+    gateway.dispatch(turn);
+    SECTION("at its limit")
+    {
+        gateway.dispatch(shutdown_requested {});
+        gateway.advance(gateway.state.settings.shutdownDelay);
+        gateway.advance(gateway.state.settings.shutdownLimit);
+    }
+    SECTION("at once")
+    {
+        gateway.dispatch(shutdown_requested { true });
+    }
+    std::map<exchange_id, bool> mayHaveRun;
+    while (const auto refusal = gateway.takeEffect<refuse_caller>()) {
+        mayHaveRun[refusal->exchange] = refusal->mayHaveRun;
+    }
+    CHECK(mayHaveRun == std::map<exchange_id, bool> { { payment.exchange, true }, { turn.exchange, false } });
+    CHECK(gateway.takeEffect<stop_process>()->exitCode == 1);
+    CHECK(gateway.state.calls.empty());
 }
 
 namespace {
