Refuse at once what may not end before a gateway stops

Callers would see: a request on a kept connection, sent late in a planned stop, is taken, passed to a server, and cut when the gateway reaches its limit. Since connections stay open after an answer that said so, such requests are more likely.

Change: while the gateway drains, a request whose deadline lies behind its stop is refused as not run, with Retry-After; its caller tries another gateway in time. What ends before the stop is served as before.

The test "A gateway that shuts down refuses a request that it may not be able to finish" fails on the code before: the request is forwarded.

--- a/libs/core/src/forward/admission.cpp
+++ b/libs/core/src/forward/admission.cpp
@@ -63,6 +63,12 @@
         c.state.expiries.insert({ call.expiresAt, call.exchange });
     }
 
+    /// @return whether the process may stop before the call's time has passed.
+    bool outlivesProcess(const context& c, const forward_call& call)
+    {
+        return c.state.shutdown == shutdown_phase::Draining && call.expiresAt > c.state.shutdownStepAt;
+    }
+
 } // namespace
 
 void admit(context& c, const forward_request& request)
@@ -74,6 +80,10 @@
         return;
     }
     setExpiry(c, call);
+    if (outlivesProcess(c, call)) {
+        failCall(c, call, { error_code::Unavailable, "the gateway is shutting down", c.state.settings.defaultRetryAfter });
+        return;
+    }
     const bool hasAccounts = !c.state.configuration.table.accounts.empty();
     if (call.route.isPublic || !hasAccounts) {
         prepare(c, call);
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -309,6 +309,32 @@
     CHECK(gateway.state.calls.empty());
 }
 
+// Guards against a request that is taken shortly before the process stops, and cut then.
+TEST_CASE("A gateway that shuts down refuses a request that it may not be able to finish", "[forward]")
+{
+    forward_gateway gateway;
+    gateway.configure();
+    gateway.dispatch(shutdown_requested {});
+    gateway.advance(gateway.state.settings.shutdownDelay);
+    gateway.advance(gateway.state.settings.shutdownLimit - 2s);
+    auto request = gateway.makeRequest("/pay/1");
+    SECTION("whose caller waits longer than the process runs")
+    {
+        gateway.dispatch(request);
+        CHECK_FALSE(gateway.takeEffect<forward_upstream>());
+        const auto refusal = gateway.takeEffect<refuse_caller>();
+        REQUIRE(refusal);
+        CHECK_FALSE(refusal->mayHaveRun);
+        CHECK(refusal->retryAfter.count() > 0);
+    }
+    SECTION("but not one that ends in time")
+    {
+        request.timeLeft = 1s;
+        gateway.dispatch(request);
+        CHECK(gateway.takeEffect<forward_upstream>());
+    }
+}
+
 namespace {
 
 /// Answers the pending lease request with a grant of no tokens, which refuses the account's waiting calls.
