Resume no stream at a service to which its route gives no share

A configuration that moves a route away from a service may leave it in the route with weight 0. A resumption whose recorded origin is that service was still sent there, as only the older configuration allows. Found in the review; the new section fails on the code before, which forwards the request.

--- a/libs/core/src/forward/stream_origin.cpp
+++ b/libs/core/src/forward/stream_origin.cpp
@@ -20,7 +20,7 @@
     bool hasService(const wire::route_rule& route, const std::string& service)
     {
         return std::any_of(route.services.begin(), route.services.end(),
-            [&](const wire::weighted_service& share) { return share.service == service; });
+            [&](const wire::weighted_service& share) { return share.service == service && share.weight > 0; });
     }
 
     bool canBeResumed(const forward_call& call)
--- a/libs/core/tests/test_forward_resumption.cpp
+++ b/libs/core/tests/test_forward_resumption.cpp
@@ -179,6 +179,12 @@
         resume(gateway, { "shop", "v1" });
         checkRefusedAsNotRun(gateway);
     }
+    SECTION("the route gives the service no share any more")
+    {
+        gateway.state.configuration.table.routes[1].services = { { "engines", 0 }, { "others", 1 } };
+        resume(gateway, { "engines", "v2" });
+        checkRefusedAsNotRun(gateway);
+    }
     SECTION("the caller does not name the first request")
     {
         gateway.dispatch(makeResumption(gateway, ""));
