Resend the record of a stream for as long as a settlement

A group without a leader for 2 s (its leader was killed) left every stream begun then without a record, as the record was given up after 1.5 s at most; their resumptions were refused while new streams began. It is resent for 10 s now, like the settlement of a budget, whether or not the call goes on.

--- a/libs/core/src/forward/stream_origin.cpp
+++ b/libs/core/src/forward/stream_origin.cpp
@@ -91,7 +91,7 @@
     const wire::record_stream command { call.account, call.request.attempt, call.service, softwareVersion,
         record.sequence, retentionOf(call) };
     record.request = controller_client::send(c.state.controllers, accountGroup(c, call), wire::command(command),
-        "record_stream", c.now, controllerTimeout(c, call), c.out);
+        "record_stream", c.now, c.state.settings.settleTimeout, c.out);
     c.state.callByControllerRequest[record.request] = call.exchange;
     record.isAwaited = !isFirst;
     return isFirst;
