Keep a stream at its recorded version before its first event

A stream that is sent again before its first event could be placed at another version each time, and waited for a record each time; with two versions in service it could alternate until its deadline, as only sends are counted. Servers of the recorded version go first now; another one is taken, and recorded, where there is none. Found in the review; the new test fails on the code before, where the stream waits for a record instead of going to e5.

--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -66,6 +66,22 @@
                 { "resumed_request", call.request.resumedAttempt } });
     }
 
+    /// Before its first event, a stream prefers the software version that is recorded for it, since another would have to
+    /// be recorded first.
+    std::optional<std::string> selectServer(context& c, const forward_call& call)
+    {
+        auto requirements = describeRequirements(c, call);
+        const auto& recorded = call.originRecord.softwareVersion;
+        if (requirements.softwareVersion == nullptr && !recorded.empty()) {
+            requirements.softwareVersion = &recorded;
+            if (auto server = chooseServer(c.state.servers, requirements, c.now, c.random)) {
+                return server;
+            }
+            requirements.softwareVersion = nullptr;
+        }
+        return chooseServer(c.state.servers, requirements, c.now, c.random);
+    }
+
     void send(context& c, forward_call& call, const server_entry& server)
     {
         call.server = server.record.backend;
@@ -211,7 +227,7 @@
         std::uniform_real_distribution<double> draw(0, 1);
         call.service = drawService(call.route, draw(c.random));
     }
-    auto server = chooseServer(c.state.servers, describeRequirements(c, call), c.now, c.random);
+    const auto server = selectServer(c, call);
     if (!server) {
         const auto version = call.origin.service.empty() ? "" : " at version " + call.origin.softwareVersion;
         const refusal none { error_code::Unavailable, "no server of " + call.service + version + " may take the request",
--- a/libs/core/tests/test_forward_resumption.cpp
+++ b/libs/core/tests/test_forward_resumption.cpp
@@ -272,6 +272,22 @@
     }
 }
 
+// Guards against a stream that alternates between versions, each time with another record to wait for.
+TEST_CASE("A stream that is sent again before its first event stays at its version while there is a server", "[forward][resumption]")
+{
+    forward_gateway gateway;
+    gateway.configure();
+    setEngines(gateway, { { "e1", "v1" } });
+    gateway.dispatch(gateway.makeRequest("/draft/1"));
+    const auto first = gateway.takeEffect<forward_upstream>();
+    REQUIRE(first);
+    setEngines(gateway, { { "e1", "v1" }, { "e2", "v2" }, { "e3", "v2" }, { "e4", "v2" }, { "e5", "v1" } });
+    gateway.dispatch(upstream_failed { first->request, upstream_phase::Sent, "reset" });
+    const auto second = gateway.takeEffect<forward_upstream>();
+    REQUIRE(second);
+    CHECK(second->backend == "e5");
+}
+
 // Guards against crowding all new streams on one version while two are in service.
 TEST_CASE("New streams spread over the servers of all versions", "[forward][resumption]")
 {
