Resume no stream of a server that has started again since the send

A server may start again under its id with another version. Until its first heartbeat has reached the gateway, a stream that is sent there is taken for one of the earlier version, and recorded so. Where the announcements tell of another start by the time the stream breaks off, its version is in doubt: the gateway aborts it, and replaces the record by one that no server matches. The incarnation that a server announces is kept with each send for that.

The test's section fails on the code before: the stream goes on at e5.

--- a/libs/core/include/core/forward/forward_call.hpp
+++ b/libs/core/include/core/forward/forward_call.hpp
@@ -70,6 +70,7 @@
     origin_record originRecord;
     std::string server; ///< server of the current or last attempt; empty: not sent yet
     std::string softwareVersion; ///< of that server at the time of the send
+    std::uint64_t serverIncarnation = 0; ///< of that server at the time of the send
     std::string upstream; ///< id of the upstream request; empty: none under way
     std::set<std::string> triedServers; ///< servers that the request was sent to
     std::uint32_t sends = 0;
--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -86,6 +86,7 @@
     {
         call.server = server.record.backend;
         call.softwareVersion = server.record.softwareVersion;
+        call.serverIncarnation = server.record.incarnation;
         call.triedServers.insert(call.server);
         call.upstream = "u" + std::to_string(c.state.nextUpstream++);
         call.step = call_step::Run;
@@ -157,11 +158,22 @@
         failCall(c, call, { error_code::Unavailable, "no server took the request: " + reason, c.state.settings.defaultRetryAfter });
     }
 
+    /// @return whether the server has started again since the send, as far as its announcements tell.
+    bool hasRestarted(const context& c, const forward_call& call)
+    {
+        const auto found = c.state.servers.servers.find(call.server);
+        return found != c.state.servers.servers.end() && found->second.record.incarnation != call.serverIncarnation;
+    }
+
     /// Handles a lost answer of a server that may have run the call: retries where the route allows, or fails the call.
     void onAnswerLost(context& c, forward_call& call, const std::string& reason)
     {
         ++c.state.counters.lost;
         discardAnswer(call);
+        if (!call.origin.service.empty() && hasRestarted(c, call)) {
+            // The events may be of the new start, whose software version the send did not know.
+            invalidateOrigin(c, call);
+        }
         if (canRunAgain(call)) {
             c.state.counters.resumed += call.answer.hasBegun ? 1 : 0;
             logRetry(c, call, reason);
--- a/libs/core/src/forward/stream_origin.cpp
+++ b/libs/core/src/forward/stream_origin.cpp
@@ -35,6 +35,23 @@
         return std::min(std::max(call.request.timeLeft, call.route.timeout) + retentionMargin, maxRetention);
     }
 
+    /// Replaces the last record of the stream.
+    void sendRecord(context& c, forward_call& call, const std::string& softwareVersion)
+    {
+        auto& record = call.originRecord;
+        if (record.request != 0) {
+            c.state.callByControllerRequest.erase(record.request);
+            controller_client::discardRequest(c.state.controllers, record.request);
+        }
+        record.softwareVersion = softwareVersion;
+        ++record.sequence;
+        const wire::record_stream command { call.account, call.request.attempt, call.service, softwareVersion,
+            record.sequence, retentionOf(call) };
+        record.request = controller_client::send(c.state.controllers, accountGroup(c, call), wire::command(command),
+            "record_stream", c.now, c.state.settings.settleTimeout, c.out);
+        c.state.callByControllerRequest[record.request] = call.exchange;
+    }
+
 } // namespace
 
 bool resumesStream(const forward_call& call)
@@ -81,20 +98,18 @@
     if (!canBeResumed(call) || softwareVersion == record.softwareVersion) {
         return true;
     }
-    if (record.request != 0) {
-        c.state.callByControllerRequest.erase(record.request);
-        controller_client::discardRequest(c.state.controllers, record.request);
-    }
     const bool isFirst = record.sequence == 0;
-    record.softwareVersion = softwareVersion;
-    ++record.sequence;
-    const wire::record_stream command { call.account, call.request.attempt, call.service, softwareVersion,
-        record.sequence, retentionOf(call) };
-    record.request = controller_client::send(c.state.controllers, accountGroup(c, call), wire::command(command),
-        "record_stream", c.now, c.state.settings.settleTimeout, c.out);
-    c.state.callByControllerRequest[record.request] = call.exchange;
+    sendRecord(c, call, softwareVersion);
     record.isAwaited = !isFirst;
     return isFirst;
 }
 
+void invalidateOrigin(context& c, forward_call& call)
+{
+    call.origin.softwareVersion.clear();
+    if (call.originRecord.sequence != 0) {
+        sendRecord(c, call, "");
+    }
+}
+
 } // namespace cuminledge::core::forward
--- a/libs/core/src/forward/stream_origin.hpp
+++ b/libs/core/src/forward/stream_origin.hpp
@@ -25,4 +25,7 @@
 /// @return false if the call must wait for the confirmation, since a server of another version may have been recorded.
 bool recordOrigin(context& c, forward_call& call, const std::string& softwareVersion);
 
+/// Lets nobody resume the stream any more, since the version that ran it is in doubt.
+void invalidateOrigin(context& c, forward_call& call);
+
 } // namespace cuminledge::core::forward
--- a/libs/core/tests/test_forward_resumption.cpp
+++ b/libs/core/tests/test_forward_resumption.cpp
@@ -106,14 +106,18 @@
         CHECK_FALSE(gateway.takeEffect<forward_upstream>());
         CHECK(gateway.takeEffect<abort_exchange>());
     }
-    SECTION("not at a server that came back under its id with another version")
+    SECTION("nowhere if the server has started again meanwhile, perhaps with another version before the send")
     {
         auto reborn = forward_gateway::makeServer("e1", "engines", "v2");
         reborn.incarnation = 2;
-        applyMembership(gateway.state.servers, { reborn }, false);
+        applyMembership(gateway.state.servers, { reborn, forward_gateway::makeServer("e5", "engines", "v1") }, false);
+        gateway.takeControllerRequest();
         gateway.dispatch(upstream_failed { first.request, upstream_phase::Answering, "reset" });
         CHECK_FALSE(gateway.takeEffect<forward_upstream>());
         CHECK(gateway.takeEffect<abort_exchange>());
+        const auto record = commandIn<wire::record_stream>(gateway.takeControllerRequest());
+        REQUIRE(record);
+        CHECK(record->softwareVersion.empty());
     }
 }
 
