Word listeners, sessions and resumptions more plainly, and count only our own closes as cuts

The counts cut_* of a stopped listener took in connections that their callers had closed; they count this side's closes alone now, as documented. The listener of operators is logged too. The rest is wording.

--- a/libs/core/include/core/forward/server_table.hpp
+++ b/libs/core/include/core/forward/server_table.hpp
@@ -64,7 +64,7 @@
     std::uint32_t slots = 0; ///< of each server; 0: not known
     std::string model;
     const std::vector<prompt_part>* parts = nullptr;
-    const std::string* softwareVersion = nullptr; ///< the only one that may serve; an empty one matches none. Null: any
+    const std::string* softwareVersion = nullptr; ///< null: any. An empty version is unknown, and no server has it
     const std::set<std::string>* excluded = nullptr; ///< servers that this request was sent to
 };
 
--- a/libs/core/src/forward/configuration.cpp
+++ b/libs/core/src/forward/configuration.cpp
@@ -39,7 +39,7 @@
             const char* state = record.withdrawn ? "gone" : (record.draining ? "draining" : "ready");
             c.out.emplace_back(write_log { log_level::Info, "server_known",
                 { { "server", record.backend }, { "address", record.address }, { "service", record.service },
-                    { "state", state }, { "version", record.softwareVersion }, { "version", record.softwareVersion },
+                    { "state", state }, { "version", record.softwareVersion },
                     { "incarnation", std::to_string(record.incarnation) } } });
         }
     }
--- a/libs/host/src/process.cpp
+++ b/libs/host/src/process.cpp
@@ -555,6 +555,9 @@
     if (m_callers) {
         logStoppedListener("callers", m_callers->counts());
     }
+    if (m_operators) {
+        logStoppedListener("operators", m_operators->counts());
+    }
     if (m_control) {
         logStoppedListener("control", m_control->counts());
     }
--- a/libs/net/include/net/tcp_listener.hpp
+++ b/libs/net/include/net/tcp_listener.hpp
@@ -18,7 +18,7 @@
 public:
     using accept_handler = std::function<void(boost::asio::ip::tcp::socket)>;
 
-    /// @param onAccepted never called after close() or the destructor, and by drain() for the last connections.
+    /// @param onAccepted never called after close() or the destructor. drain() calls it for the last connections.
     tcp_listener(boost::asio::io_context& context, accept_handler onAccepted);
     ~tcp_listener();
 
--- a/libs/net/src/http_session.cpp
+++ b/libs/net/src/http_session.cpp
@@ -108,7 +108,7 @@
         m_closeAfterAnswer = true;
         return;
     }
-    close("connection closed by the caller");
+    closeByCaller();
 }
 
 void http_session::onRead(std::string_view bytes)
@@ -225,7 +225,7 @@
 // Answers
 //------------------------------------------------------------------------------------------------------------------
 
-/// Decides whether the connection stays open behind the answer whose head is made now. The head tells the caller, who
+/// Decides whether the connection stays open after the answer whose head is made now. The head tells the caller, who
 /// may send its next request at once, so a later decision to close only holds from the next answer on.
 bool http_session::decideKeepAlive()
 {
@@ -435,7 +435,7 @@
     m_socket.async_write_some(bytes, [self = shared_from_this()](auto problem, std::size_t written) {
         self->m_writePending = false;
         if (problem) {
-            self->close("connection closed by the caller");
+            self->closeByCaller();
             return;
         }
         self->m_sent += written;
@@ -508,11 +508,23 @@
 
 void http_session::close(const std::string& reason)
 {
-    if (std::exchange(m_closed, true)) {
-        return;
+    if (!m_closed) {
+        countCut();
+        end(reason);
+    }
+}
+
+void http_session::closeByCaller()
+{
+    if (!m_closed) {
+        end("connection closed by the caller");
     }
+}
+
+void http_session::end(const std::string& reason)
+{
+    m_closed = true;
     const auto self = shared_from_this();
-    countCut();
     boost::system::error_code ignored;
     m_socket.close(ignored);
     m_deadline.clear();
@@ -523,7 +535,7 @@
     }
 }
 
-/// Counts what a close of this side takes from the caller.
+/// Counts a close of this side that a request or an answer does not survive.
 void http_session::countCut()
 {
     auto& tally = m_owner->tally();
--- a/libs/net/src/http_session.hpp
+++ b/libs/net/src/http_session.hpp
@@ -65,8 +65,8 @@
     [[nodiscard]] const std::string& tag() const { return m_tag; }
     [[nodiscard]] std::size_t sendBufferBytes() const { return m_queued.size() + m_sending.size() - m_sent; }
 
-    /// Closes now if no request is under way or partly read, else behind the next answer that can say so, or after the
-    /// drain time.
+    /// Closes now if no request is under way or partly read. Else closes after the next answer whose head can say so, or
+    /// after the drain time if no request follows.
     void closeAfterAnswer();
 
     /// Closes after the drain time if no request comes by then, else after its answer.
@@ -106,6 +106,8 @@
     void beginLinger();
 
     void closeIdle();
+    void closeByCaller();
+    void end(const std::string& reason);
     void countCut();
     void setDeadline(std::chrono::milliseconds timeout);
     void onDeadline();
