--- a/libs/core/tests/test_forward_resumption.cpp
+++ b/libs/core/tests/test_forward_resumption.cpp
@@ -281,15 +281,18 @@
 {
     forward_gateway gateway;
     gateway.configure();
-    setEngines(gateway, { { "e1", "v1" } });
-    gateway.dispatch(gateway.makeRequest("/draft/1"));
-    const auto first = gateway.takeEffect<forward_upstream>();
-    REQUIRE(first);
-    setEngines(gateway, { { "e1", "v1" }, { "e2", "v2" }, { "e3", "v2" }, { "e4", "v2" }, { "e5", "v1" } });
-    gateway.dispatch(upstream_failed { first->request, upstream_phase::Sent, "reset" });
-    const auto second = gateway.takeEffect<forward_upstream>();
-    REQUIRE(second);
-    CHECK(second->backend == "e5");
+    constexpr int streams = 20;
+    for (int i = 0; i < streams; ++i) {
+        setEngines(gateway, { { "e1", "v1" } });
+        gateway.dispatch(gateway.makeRequest("/draft/1"));
+        const auto first = gateway.takeEffect<forward_upstream>();
+        REQUIRE(first);
+        setEngines(gateway, { { "e1", "v1" }, { "e2", "v2" }, { "e3", "v2" }, { "e4", "v2" }, { "e5", "v1" } });
+        gateway.dispatch(upstream_failed { first->request, upstream_phase::Sent, "reset" });
+        const auto second = gateway.takeEffect<forward_upstream>();
+        REQUIRE(second);
+        CHECK(second->backend == "e5");
+    }
 }
 
 // Guards against crowding all new streams on one version while two are in service.
