Do not touch a peer that a send has ended

What users would see: a process ends with SIGSEGV, with all that it has under way. A send over the bound of a link's queue closes the link; where it was the last one of a peer that the process does not dial, the peer's state is erased in the same call, and the count of dropped messages was then raised in freed memory.

The peer is looked up again after the send now.

--- a/libs/net/src/peer_transport.cpp
+++ b/libs/net/src/peer_transport.cpp
@@ -116,7 +116,10 @@
         if (!links.empty() && links.back()->send(wire::encodeVariant(message))) {
             return true;
         }
-        ++found->second->ended.dropped;
+        // The send may have closed the last link of a peer that nobody wants, and so ended the peer.
+        if (const auto left = m_peers.find(name); left != m_peers.end()) {
+            ++left->second->ended.dropped;
+        }
         return false;
     }
 
