Refuse a caller's resumption of a turn that is retained

Callers would see, on a route that both retains turns and lets streams be resumed: the turns that continue a resumed one get a prompt without the first part of its answer, as only the events after the resumption were retained. No deployment at hand has such a route. The resumption is refused at once as not run, and the caller begins the turn again. The gateway's own resumption within one answer holds all events and stays. Found in the review; the new section fails on the code before.

--- a/libs/core/src/forward/stream_origin.cpp
+++ b/libs/core/src/forward/stream_origin.cpp
@@ -61,6 +61,9 @@
 
 std::optional<refusal> requestOrigin(context& c, forward_call& call)
 {
+    if (call.route.retainsTurns) {
+        return notResumable("the turn would be retained without the events before the resumption");
+    }
     const auto& first = call.request.resumedAttempt;
     if (first.empty() || first.size() > maxAttemptBytes) {
         return notResumable("the request does not name the request that began the stream");
--- a/libs/core/tests/test_forward_resumption.cpp
+++ b/libs/core/tests/test_forward_resumption.cpp
@@ -189,6 +189,12 @@
         resume(gateway, { "engines", "v2" });
         checkRefusedAsNotRun(gateway);
     }
+    SECTION("the route retains turns, whose later turns would miss the first part")
+    {
+        gateway.state.configuration.table.routes[1].retainsTurns = true;
+        gateway.dispatch(makeResumption(gateway, "first"));
+        checkRefusedAsNotRun(gateway);
+    }
     SECTION("the caller does not name the first request")
     {
         gateway.dispatch(makeResumption(gateway, ""));
