Keep the promise of a stuck peer alive until its handler has ended

What was seen: test_net ended with SIGSEGV in "a peer that does not read is closed at the bound of the send queue", in the two runs of the whole check on, and in 4 of 12 runs of the case alone on the same build.

Cause: in the test, not in the program. The stack is the posted handler, which calls get_future() on a promise of the test's frame. The test waits for the server alone, so that a handler that starts late finds the promise destroyed. Also, the peer was not known to be stuck when the sends began.

Change: the handler holds its own future, the sends wait until it runs, and the test waits for its end.

--- a/libs/net/tests/test_peer_transport.cpp
+++ b/libs/net/tests/test_peer_transport.cpp
@@ -285,13 +285,19 @@
     stuck.connect(server, "server");
     REQUIRE(server.saw("+stuck@1"));
     std::promise<void> released;
-    boost::asio::post(stuckThread.context(), [&] { released.get_future().wait(); });
+    std::promise<void> isStuck;
+    boost::asio::post(stuckThread.context(), [&isStuck, release = released.get_future().share()] {
+        isStuck.set_value();
+        release.wait();
+    });
+    isStuck.get_future().wait();
     const std::string text(10'000, 't');
     int sent = 0;
     while (sent < 20'000 && server.send("stuck", text)) {
         ++sent;
     }
     released.set_value();
+    stuckThread.call([] {}); // the handler has ended before its promises do
     CHECK(sent < 20'000);
     REQUIRE(server.saw("-stuck"));
     CHECK(server.lastReason == "send queue over its bound");
