Log how an exchange with a server ended, and which tries are one request

The log could not tell apart the hypotheses on requests that crash servers: a caller's next try has a new id, and no line said how the exchange with a server ended or which start of the server it was. Each request has a fingerprint now (account, method, host, path and body), which `answer_lost` (new) and `request_refused` name; `answer_lost` also names server, start, and how far the answer had come. No decision changes.

--- a/libs/core/include/core/forward/forward_call.hpp
+++ b/libs/core/include/core/forward/forward_call.hpp
@@ -51,6 +51,7 @@
     forward_request request;
     wire::route_rule route;
     std::string account;
+    std::string fingerprint; ///< equal for all tries of the caller; see request_fingerprint.hpp
     call_step step = call_step::Rate;
     time_point arrived {};
     time_point expiresAt {}; ///< the caller's deadline or the route's timeout, whichever comes first
--- a/libs/core/src/forward/admission.cpp
+++ b/libs/core/src/forward/admission.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include <core/forward/match_route.hpp>
+#include <core/request_fingerprint.hpp>
 
 #include "answers.hpp"
 #include "rate.hpp"
@@ -63,6 +64,12 @@
         c.state.expiries.insert({ call.expiresAt, call.exchange });
     }
 
+    void setFingerprint(forward_call& call)
+    {
+        const auto& request = call.request;
+        call.fingerprint = fingerprintOf({ call.account, request.method, request.host, request.target, request.body });
+    }
+
     /// @return whether the process may stop before the call's time has passed.
     bool outlivesProcess(const context& c, const forward_call& call)
     {
@@ -86,6 +93,7 @@
     }
     const bool hasAccounts = !c.state.configuration.table.accounts.empty();
     if (call.route.isPublic || !hasAccounts) {
+        setFingerprint(call);
         prepare(c, call);
         return;
     }
@@ -95,6 +103,7 @@
         return;
     }
     call.account = account->name;
+    setFingerprint(call);
     if (account->ratePerSecond > 0) {
         requestRate(c, call);
     } else {
--- a/libs/core/src/forward/answers.cpp
+++ b/libs/core/src/forward/answers.cpp
@@ -29,7 +29,7 @@
         logCall(c, log_level::Warning, "request_refused", call,
             { { "code", cuminledge::toString(reason.code) }, { "reason", reason.message },
                 { "sends", std::to_string(call.sends) }, { "may_have_run", call.possibleRuns > 0 ? "yes" : "no" },
-                { "retry_after_ms", std::to_string(reason.retryAfter.count()) },
+                { "retry_after_ms", std::to_string(reason.retryAfter.count()) }, { "fingerprint", call.fingerprint },
                 { "routes_version", std::to_string(c.state.configuration.table.version) } });
         c.out.emplace_back(refuse_caller { call.exchange, reason.code, call.possibleRuns > 0, reason.retryAfter, reason.message });
     }
--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -165,10 +165,20 @@
         return found != c.state.servers.servers.end() && found->second.record.incarnation != call.serverIncarnation;
     }
 
+    /// Ties the tries of one request together, and tells how the exchange with the server ended.
+    void logLostAnswer(context& c, const forward_call& call, const std::string& reason)
+    {
+        logCall(c, log_level::Info, "answer_lost", call,
+            { { "server", call.server }, { "incarnation", std::to_string(call.serverIncarnation) },
+                { "reason", reason }, { "has_head", call.answer.hasHead ? "yes" : "no" },
+                { "events", std::to_string(call.answer.eventCount) }, { "fingerprint", call.fingerprint } });
+    }
+
     /// Handles a lost answer of a server that may have run the call: retries where the route allows, or fails the call.
     void onAnswerLost(context& c, forward_call& call, const std::string& reason)
     {
         ++c.state.counters.lost;
+        logLostAnswer(c, call, reason);
         discardAnswer(call);
         if (!call.origin.service.empty() && hasRestarted(c, call)) {
             // The events may be of the new start, whose software version the send did not know.
