Refuse a request at all gateways once three servers have ended under it

What callers saw: servers went on ending under one request, which its caller sent again and again; N sends came after the third, and N servers ended in all.

Cause: a try of the caller was judged by its own history alone. The next try has a new id, the same path, key and body, and may reach any gateway, where it began from nothing. The forwarding gateway neither reported crashes to group 0 nor asked for its records, which the product's own gateway has done all along.

Why it works: crashes are counted in replicated state, once for each start of a server, so the count outlives gateways and leaders and is the same at all of them. A lost answer counts only where the server refuses connections or is gone from the list, and a request that completes anywhere is cleared, also where others with the same body run at the same time.

Ruled out: a record in one gateway (tries reach others, gateways are restarted); resets alone as the sign (a silent server crashed too, and a lost answer of a live server proves nothing); two crashes as the limit (neighbours of a crash in a service of three servers).

report_crash and clear_fingerprint have a new field each at their end; controllers of the version before pass over them.

--- a/libs/core/include/core/effect.hpp
+++ b/libs/core/include/core/effect.hpp
@@ -137,6 +137,13 @@
     bool freshConnection = false;
 };
 
+/// Finds out whether a backend server accepts connections, by making one and closing it. Answered by server_checked.
+struct check_server {
+    std::string server;
+    std::uint64_t incarnation = 0; ///< returned with the answer
+    std::string address; ///< "IP:PORT"
+};
+
 /// Starts the answer to a forwarded request.
 struct begin_answer {
     exchange_id exchange = 0;
@@ -249,7 +256,7 @@
 using effect = std::variant<connect_peer, disconnect_peer, send_message, reply_to_caller, begin_stream, stream_event,
     end_stream, abort_exchange, tag_connection, close_key_connections, reply_to_operator, reply_dump, start_upstream,
     cancel_upstream, persist_log, write_log, set_ready, close_listeners, stop_process, record_metric, forward_upstream,
-    begin_answer, answer_data, end_answer, refuse_caller, announce_closing, reply_to_control>;
+    begin_answer, answer_data, end_answer, refuse_caller, announce_closing, reply_to_control, check_server>;
 
 /// Effects in the order they are carried out.
 using effects = std::vector<effect>;
--- a/libs/core/include/core/event.hpp
+++ b/libs/core/include/core/event.hpp
@@ -245,6 +245,20 @@
     MSGPACK_DEFINE(request, status, headers, notRun, attempt, isSigned, isEncoded, length)
 };
 
+enum class server_reachability : std::uint8_t {
+    Accepts,
+    Refuses, ///< no process listens at the address
+    Unreachable ///< no answer
+};
+
+/// The answer to a check_server effect.
+struct server_checked {
+    std::string server;
+    std::uint64_t incarnation = 0;
+    server_reachability reachability = server_reachability::Unreachable;
+    MSGPACK_DEFINE(server, incarnation, reachability)
+};
+
 //------------------------------------------------------------------------------------------------------------------
 // Control: backend servers that announce themselves, and operators of forwarding gateways
 //------------------------------------------------------------------------------------------------------------------
@@ -296,8 +310,10 @@
 using event = std::variant<process_started, tick, peer_connected, peer_disconnected, peer_message, caller_request,
     caller_gone, operator_request, dump_requested, upstream_response, upstream_data, upstream_finished, upstream_failed,
     replica_loaded, log_persisted, storage_failed, shutdown_requested, forward_request, upstream_head,
-    server_announcement, server_departure, routes_submission, routes_query, retirement_request, listeners_drained>;
+    server_announcement, server_departure, routes_submission, routes_query, retirement_request, listeners_drained,
+    server_checked>;
 
 } // namespace cuminledge::core
 
 MSGPACK_ADD_ENUM(cuminledge::core::upstream_phase);
+MSGPACK_ADD_ENUM(cuminledge::core::server_reachability);
--- a/libs/core/include/core/forward/forward_call.hpp
+++ b/libs/core/include/core/forward/forward_call.hpp
@@ -70,6 +70,7 @@
     std::uint64_t originRequest = 0; ///< pending read of the origin of the resumed stream; 0: none
     origin_record originRecord;
     std::string server; ///< server of the current or last attempt; empty: not sent yet
+    std::string serverAddress; ///< of that server at the time of the send
     std::string softwareVersion; ///< of that server at the time of the send
     std::uint64_t serverIncarnation = 0; ///< of that server at the time of the send
     std::string upstream; ///< id of the upstream request; empty: none under way
--- a/libs/core/include/core/forward/forwarder.hpp
+++ b/libs/core/include/core/forward/forwarder.hpp
@@ -12,6 +12,7 @@
 #include <core/controller_client/controller_client.hpp>
 #include <core/effect.hpp>
 #include <core/event.hpp>
+#include <core/forward/crash_tracker.hpp>
 #include <core/forward/forward_call.hpp>
 #include <core/forward/forwarder_settings.hpp>
 #include <core/forward/program_memory.hpp>
@@ -73,6 +74,7 @@
     held_configuration configuration;
     limits::lease_holder rate;
     server_table servers;
+    crash_tracker crashes;
     turn_cache turns;
     std::unordered_map<exchange_id, forward_call> calls;
     std::set<std::pair<time_point, exchange_id>> expiries; ///< of all calls
--- a/libs/core/include/core/gateway/gateway.hpp
+++ b/libs/core/include/core/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include <core/controller_client/config_poll.hpp>
+#include <core/controller_client/quarantine_view.hpp>
 #include <core/effect.hpp>
 #include <core/event.hpp>
 #include <core/gateway/call.hpp>
@@ -45,8 +46,7 @@
     std::map<std::string, wire::key_record> keys;
     std::uint64_t membershipEpoch = 0;
     std::uint64_t membershipVersion = 0;
-    std::uint64_t quarantineRevision = 0;
-    std::map<std::string, wire::quarantine_record> quarantine;
+    controller_client::quarantine_view quarantine;
 };
 
 /// Cached facts about a program. They need no invalidation: a program's account and route never change.
--- a/libs/core/include/core/store/control_state.hpp
+++ b/libs/core/include/core/store/control_state.hpp
@@ -34,7 +34,8 @@
 constexpr std::size_t maxCrashRecords = 10'000;
 /// Maximum number of cleared fingerprints kept for configuration updates.
 constexpr std::size_t maxClearedFingerprints = 10'000;
-/// A fingerprint is quarantined once this number of backend servers died while running it.
+/// A fingerprint is quarantined once this number of backend servers died while running it, unless the report says
+/// otherwise.
 constexpr std::uint32_t quarantineDeaths = 2;
 /// Maximum number of departed servers kept, so that a late announcement of one of them has no effect.
 constexpr std::size_t maxDepartedServers = 2'000;
--- a/libs/core/src/forward/admission.cpp
+++ b/libs/core/src/forward/admission.cpp
@@ -92,19 +92,21 @@
         return;
     }
     const bool hasAccounts = !c.state.configuration.table.accounts.empty();
-    if (call.route.isPublic || !hasAccounts) {
-        setFingerprint(call);
-        prepare(c, call);
-        return;
+    const wire::account_rule* account = nullptr;
+    if (!call.route.isPublic && hasAccounts) {
+        account = findAccount(c.state.configuration, request.key);
+        if (account == nullptr) {
+            failCall(c, call, { error_code::Unauthenticated, "no account holds the key" });
+            return;
+        }
+        call.account = account->name;
     }
-    const auto* account = findAccount(c.state.configuration, request.key);
-    if (account == nullptr) {
-        failCall(c, call, { error_code::Unauthenticated, "no account holds the key" });
+    setFingerprint(call);
+    if (!mayRun(c.state.crashes, call.fingerprint)) {
+        failQuarantined(c, call);
         return;
     }
-    call.account = account->name;
-    setFingerprint(call);
-    if (account->ratePerSecond > 0) {
+    if (account != nullptr && account->ratePerSecond > 0) {
         requestRate(c, call);
     } else {
         prepare(c, call);
--- a/libs/core/src/forward/answers.cpp
+++ b/libs/core/src/forward/answers.cpp
@@ -5,6 +5,7 @@
 #include <core/forward/match_route.hpp>
 
 #include "attempts.hpp"
+#include "crashes.hpp"
 #include "rate.hpp"
 #include "turns.hpp"
 
@@ -71,6 +72,11 @@
     removeCall(c, call);
 }
 
+void failQuarantined(context& c, forward_call& call)
+{
+    failCall(c, call, { error_code::Quarantined, "backend servers ended while they ran this request" });
+}
+
 void completeCall(context& c, forward_call& call)
 {
     ++c.state.counters.answered;
@@ -99,9 +105,13 @@
     // A call that may not be repeated continues: cancelling it could leave it half done.
     const bool goesOn = call.step == call_step::Retain
         || (call.step == call_step::Run && !call.route.isIdempotent && !call.route.isStream);
-    if (!goesOn) {
-        removeCall(c, call);
+    if (goesOn) {
+        return;
+    }
+    if (!call.upstream.empty() && !call.answer.hasHead) {
+        suspectCrash(c, call);
     }
+    removeCall(c, call);
 }
 
 } // namespace cuminledge::core::forward
--- a/libs/core/src/forward/answers.hpp
+++ b/libs/core/src/forward/answers.hpp
@@ -15,6 +15,9 @@
 /// Ends the call with an error: refuses it if no answer was begun, otherwise aborts the answer.
 void failCall(context& c, forward_call& call, const refusal& reason);
 
+/// Refuses the call because it has crashed too many backend servers. It has no Retry-After: waiting does not help.
+void failQuarantined(context& c, forward_call& call);
+
 /// Ends the call after its complete answer and settles its reservation.
 void completeCall(context& c, forward_call& call);
 
--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -7,6 +7,7 @@
 #include <core/forward/match_route.hpp>
 
 #include "answers.hpp"
+#include "crashes.hpp"
 #include "stream_origin.hpp"
 #include "turns.hpp"
 
@@ -25,13 +26,13 @@
     bool isSuccess(std::uint32_t status) { return status >= firstSuccess && status <= lastSuccess; }
 
     /// @return whether the call may be sent again although it may have run already.
-    bool canRunAgain(const forward_call& call)
+    bool canRunAgain(const context& c, const forward_call& call)
     {
         const bool isRepeatable
             = call.route.isStream ? call.route.isResumable : call.route.isIdempotent;
         const bool isBodyBegun = call.answer.hasBegun && !call.route.isStream;
         return isRepeatable && !isBodyBegun && call.possibleRuns < call.route.maxAttempts && call.sends < maxSends
-            && call.hasCaller;
+            && call.hasCaller && mayRun(c.state.crashes, call.fingerprint);
     }
 
     server_requirements describeRequirements(const context& c, const forward_call& call)
@@ -85,6 +86,7 @@
     void send(context& c, forward_call& call, const server_entry& server)
     {
         call.server = server.record.backend;
+        call.serverAddress = server.record.address;
         call.softwareVersion = server.record.softwareVersion;
         call.serverIncarnation = server.record.incarnation;
         call.triedServers.insert(call.server);
@@ -184,7 +186,7 @@
             // The events may be of the new start, whose software version the send did not know.
             invalidateOrigin(c, call);
         }
-        if (canRunAgain(call)) {
+        if (canRunAgain(c, call)) {
             c.state.counters.resumed += call.answer.hasBegun ? 1 : 0;
             logRetry(c, call, reason);
             startAttempt(c, call);
@@ -245,6 +247,10 @@
 
 void startAttempt(context& c, forward_call& call)
 {
+    if (!mayRun(c.state.crashes, call.fingerprint)) {
+        failQuarantined(c, call);
+        return;
+    }
     if (call.service.empty()) {
         std::uniform_real_distribution<double> draw(0, 1);
         call.service = drawService(call.route, draw(c.random));
@@ -277,7 +283,7 @@
         onRequestNotRun(c, *call, "status " + std::to_string(head.status));
         return;
     }
-    const bool isRetried = head.status >= firstServerError && canRunAgain(*call);
+    const bool isRetried = head.status >= firstServerError && canRunAgain(c, *call);
     const bool endsStream = call->answer.hasBegun && !isSuccess(head.status);
     if (isForOtherRequest || !head.isSigned || head.isEncoded || isRetried || endsStream) {
         c.out.emplace_back(cancel_upstream { head.request });
@@ -326,9 +332,11 @@
     const bool isTruncated = isEventStream(*call) && !call->answer.events.partial.empty();
     releaseServer(c, *call, isTruncated);
     if (isTruncated) {
+        suspectCrash(c, *call);
         onAnswerLost(c, *call, "the stream ended within an event");
         return;
     }
+    clearSuspicion(c, *call);
     if (!isEventStream(*call)) {
         if (!call->answer.hasBegun) {
             call->answer.length = static_cast<std::int64_t>(call->answer.body.size());
@@ -350,6 +358,7 @@
     if (failed.phase == upstream_phase::NotSent) {
         onRequestNotRun(c, *call, failed.message);
     } else {
+        suspectCrash(c, *call);
         onAnswerLost(c, *call, failed.message);
     }
 }
@@ -368,6 +377,9 @@
     ++c.state.counters.expired;
     count(c, "forward_expired_total");
     const bool isRunning = !call.upstream.empty();
+    if (isRunning) {
+        suspectCrash(c, call);
+    }
     stopUpstream(c, call, isRunning && !call.answer.hasHead);
     failCall(c, call,
         { call.possibleRuns > 0 ? error_code::Timeout : error_code::Unavailable,
--- a/libs/core/src/forward/configuration.cpp
+++ b/libs/core/src/forward/configuration.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "crashes.hpp"
 #include "lifecycle.hpp"
 
 namespace cuminledge::core::forward {
@@ -60,6 +61,7 @@
     poll.routesVersion = configuration.table.version;
     poll.membershipEpoch = configuration.membershipEpoch;
     poll.membershipVersion = configuration.membershipVersion;
+    poll.quarantineRevision = c.state.crashes.quarantine.revision;
     controller_client::pollConfiguration(
         c.state.controllers, c.state.configuration.poll, poll, pollInterval(c), c.now, c.out);
 }
@@ -76,6 +78,7 @@
     applyRoutes(c, update);
     logServers(c, update.backends);
     applyMembership(c.state.servers, update.backends, update.membershipComplete);
+    applyCrashRecords(c, update);
     configuration.membershipEpoch = update.membershipEpoch;
     configuration.membershipVersion = update.membershipVersion;
     updateReadiness(c);
--- a/libs/core/src/forward/dump.cpp
+++ b/libs/core/src/forward/dump.cpp
@@ -27,6 +27,22 @@
         return servers;
     }
 
+    Json::Value describeCrashes(const context& c)
+    {
+        Json::Value crashes(Json::objectValue);
+        crashes["records"] = Json::UInt64(c.state.crashes.quarantine.records.size());
+        crashes["checks"] = Json::Value(Json::arrayValue);
+        for (const auto& [start, check] : c.state.crashes.checks) {
+            Json::Value entry(Json::objectValue);
+            entry["server"] = start.server;
+            entry["incarnation"] = Json::UInt64(start.incarnation);
+            entry["step"] = toString(check.step);
+            entry["suspects"] = Json::UInt64(check.suspects.size());
+            crashes["checks"].append(entry);
+        }
+        return crashes;
+    }
+
     Json::Value describeCalls(const context& c)
     {
         Json::Value calls(Json::arrayValue);
@@ -78,6 +94,7 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(c.now - state.configuration.confirmedAt).count());
     dump["cached_turn_bytes"] = Json::UInt64(state.turns.bytes);
     dump["servers"] = describeServers(c);
+    dump["crashes"] = describeCrashes(c);
     dump["calls"] = describeCalls(c);
     dump["counters"] = describeCounters(state.counters);
     return writeJson(dump);
--- a/libs/core/src/forward/forwarder.cpp
+++ b/libs/core/src/forward/forwarder.cpp
@@ -5,6 +5,7 @@
 #include "attempts.hpp"
 #include "configuration.hpp"
 #include "context.hpp"
+#include "crashes.hpp"
 #include "dump.hpp"
 #include "lifecycle.hpp"
 #include "rate.hpp"
@@ -60,6 +61,7 @@
         }
         pollConfiguration(c);
         expireCalls(c);
+        checkCrashes(c);
         retryRate(c);
         continueShutdown(c);
     }
@@ -92,6 +94,7 @@
         void operator()(const upstream_failed& e) const { onUpstreamFailed(c, e); }
         void operator()(const dump_requested& e) const { c.out.emplace_back(reply_dump { e.exchange, dumpState(c) }); }
         void operator()(const shutdown_requested& e) const { beginShutdown(c, e.immediately); }
+        void operator()(const server_checked& e) const { onServerChecked(c, e); }
         void operator()(const listeners_drained&) const { c.state.isDrained = true; }
 
         template <typename Other>
--- a/libs/core/src/gateway/attempts.cpp
+++ b/libs/core/src/gateway/attempts.cpp
@@ -54,8 +54,9 @@
 
     bool isQuarantined(const gateway_context& context, gateway_call& call)
     {
-        const auto found = context.state.configuration.quarantine.find(call.fingerprint);
-        if (found == context.state.configuration.quarantine.end()) {
+        const auto& records = context.state.configuration.quarantine.records;
+        const auto found = records.find(call.fingerprint);
+        if (found == records.end()) {
             return false;
         }
         call.suspect = true;
--- a/libs/core/src/gateway/configuration.cpp
+++ b/libs/core/src/gateway/configuration.cpp
@@ -117,22 +117,6 @@
         context.state.configuration.membershipVersion = update.membershipVersion;
     }
 
-    void applyQuarantine(gateway_context& context, const wire::config_update& update)
-    {
-        auto& quarantine = context.state.configuration.quarantine;
-        if (update.quarantineComplete) {
-            quarantine.clear();
-        }
-        for (const auto& record : update.quarantine) {
-            if (record.cleared) {
-                quarantine.erase(record.fingerprint);
-            } else {
-                quarantine[record.fingerprint] = record;
-            }
-        }
-        context.state.configuration.quarantineRevision = update.quarantineRevision;
-    }
-
 } // namespace
 
 void pollConfiguration(gateway_context& context)
@@ -143,7 +127,7 @@
     poll.keyRevision = configuration.keyRevision;
     poll.membershipEpoch = configuration.membershipEpoch;
     poll.membershipVersion = configuration.membershipVersion;
-    poll.quarantineRevision = configuration.quarantineRevision;
+    poll.quarantineRevision = configuration.quarantine.revision;
     controller_client::pollConfiguration(
         context.state.controllers, configuration.poll, poll, context.state.settings.configPollInterval,
         context.now, context.out);
@@ -168,7 +152,7 @@
     applyManifest(context, update);
     applyKeys(context, update);
     applyMembership(context, update);
-    applyQuarantine(context, update);
+    controller_client::applyUpdate(configuration.quarantine, update);
     updateReadiness(context);
     resumeWaitingCalls(context);
 }
--- a/libs/core/src/gateway/dump.cpp
+++ b/libs/core/src/gateway/dump.cpp
@@ -26,7 +26,7 @@
         value["key_revision"] = Json::UInt64(configuration.keyRevision);
         value["groups"] = configuration.groupCount;
         value["quarantine"] = Json::Value(Json::arrayValue);
-        for (const auto& [fingerprint, record] : configuration.quarantine) {
+        for (const auto& [fingerprint, record] : configuration.quarantine.records) {
             Json::Value entry(Json::objectValue);
             entry["fingerprint"] = fingerprint;
             entry["account"] = record.account;
--- a/libs/core/src/store/control_state.cpp
+++ b/libs/core/src/store/control_state.cpp
@@ -241,7 +241,7 @@
             record.cleared = false;
         }
         record.deaths.push_back(death);
-        record.quarantined = record.deaths.size() >= quarantineDeaths;
+        record.quarantined = record.deaths.size() >= (command.deathLimit == 0 ? quarantineDeaths : command.deathLimit);
         const auto revision = touch(state.crashChanges, command.fingerprint);
         enforceCrashLimits(state);
         return wire::acknowledged { revision };
@@ -253,8 +253,8 @@
         if (known == state.crashes.end() || known->second.cleared) {
             return wire::acknowledged { state.crashChanges.revision };
         }
-        if (known->second.quarantined && !command.byOperator) {
-            return refuse(error_code::Quarantined, "only an operator lifts a quarantine", "clear_fingerprint");
+        if (known->second.quarantined && !command.byOperator && !command.hasCompleted) {
+            return refuse(error_code::Quarantined, "only an operator or a whole answer lifts a quarantine", "clear_fingerprint");
         }
         known->second.cleared = true;
         known->second.quarantined = false;
--- a/libs/core/src/trace.cpp
+++ b/libs/core/src/trace.cpp
@@ -115,6 +115,7 @@
     {
         hash.add(e.exchange, e.outcome, e.leader, e.document, e.state, e.message);
     }
+    void addFields(effect_hasher& hash, const check_server& e) { hash.add(e.server, e.incarnation, e.address); }
 
     std::size_t bodySize(std::string_view trace)
     {
--- a/libs/core/tests/test_store_control.cpp
+++ b/libs/core/tests/test_store_control.cpp
@@ -94,6 +94,22 @@
     CHECK_FALSE(state.crashes.at("innocent").quarantined);
 }
 
+// Guards against innocent requests that stay refused although they were answered, and against a limit that is not obeyed.
+TEST_CASE("a report's own limit of deaths holds, and a whole answer lifts the quarantine")
+{
+    control_state state;
+    constexpr std::uint32_t limit = 3;
+    applyCommand(state, wire::report_crash { "f", "a", "e1", 1, limit });
+    applyCommand(state, wire::report_crash { "f", "a", "e2", 1, limit });
+    CHECK_FALSE(state.crashes.at("f").quarantined);
+    applyCommand(state, wire::report_crash { "f", "a", "e2", 2, limit });
+    CHECK(state.crashes.at("f").quarantined);
+    applyCommand(state, wire::clear_fingerprint { "f", false, true });
+    CHECK_FALSE(state.crashes.at("f").quarantined);
+    applyCommand(state, wire::report_crash { "f", "a", "e3", 1, limit });
+    CHECK(state.crashes.at("f").deaths.size() == 1);
+}
+
 TEST_CASE("a snapshot contains the whole state")
 {
     control_state state;
--- a/libs/host/src/process.cpp
+++ b/libs/host/src/process.cpp
@@ -27,6 +27,7 @@
 #include "admin_listener.hpp"
 #include "disk.hpp"
 #include "host_report.hpp"
+#include "net_to_core.hpp"
 #include "shutdown_signals.hpp"
 
 namespace cuminledge::host {
@@ -48,19 +49,6 @@
         return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
     }
 
-    core::upstream_phase toCore(net::request_phase phase)
-    {
-        switch (phase) {
-        case net::request_phase::NotSent:
-            return core::upstream_phase::NotSent;
-        case net::request_phase::Sent:
-            return core::upstream_phase::Sent;
-        case net::request_phase::Answering:
-            return core::upstream_phase::Answering;
-        }
-        return core::upstream_phase::Sent;
-    }
-
     net::http_server_settings makeCallerSettings(const process_settings& settings)
     {
         net::http_server_settings server;
@@ -133,6 +121,7 @@
     void carryOut(const core::stop_process& e);
     void carryOut(const core::record_metric& e) { m_metrics.add(e.name, e.value, e.isDistribution); }
     void carryOut(core::forward_upstream& e) { m_client->start(m_interface.encodeUpstream(std::move(e))); }
+    void carryOut(const core::check_server& e);
     void carryOut(const core::begin_answer& e) { m_callers->beginAnswer(e.exchange, e.status, e.headers, e.length); }
     void carryOut(const core::answer_data& e) { m_callers->answerData(e.exchange, e.data); }
     void carryOut(const core::end_answer& e) { m_callers->endAnswer(e.exchange); }
@@ -481,6 +470,14 @@
     }
 }
 
+void process::impl::carryOut(const core::check_server& e)
+{
+    net::checkReachability(m_context, e.address, m_settings.connectTimeout,
+        [this, server = e.server, incarnation = e.incarnation](net::reachability found) {
+            happen(core::server_checked { server, incarnation, toCore(found) });
+        });
+}
+
 void process::impl::carryOut(core::start_upstream& e)
 {
     net::client_request request;
--- a/libs/wire/include/wire/commands.hpp
+++ b/libs/wire/include/wire/commands.hpp
@@ -175,14 +175,16 @@
     std::string account;
     std::string backend;
     std::uint64_t engineIncarnation = 0; ///< one death counts once
-    MSGPACK_DEFINE(fingerprint, account, backend, engineIncarnation)
+    std::uint32_t deathLimit = 0; ///< deaths from which on the request is quarantined; 0: the controllers' own limit
+    MSGPACK_DEFINE(fingerprint, account, backend, engineIncarnation, deathLimit)
 };
 
 /// Clears a suspect (it finished elsewhere) or lifts a quarantine (an operator's order).
 struct clear_fingerprint {
     std::string fingerprint;
     bool byOperator = false;
-    MSGPACK_DEFINE(fingerprint, byOperator)
+    bool hasCompleted = false; ///< the request was answered whole, which lifts a quarantine too
+    MSGPACK_DEFINE(fingerprint, byOperator, hasCompleted)
 };
 
 //------------------------------------------------------------------------------------------------------------------
