Keep to the request limits that servers state, over all gateways together

What callers saw: nothing; a server in need got up to five times the requests that it had said it takes.

Cause: the header was read nowhere. A limit that holds for all gateways can't be kept by each of them alone: each sees only its own answers and does not know how many others there are.

Change: gateways report limits, requests sent and demand with their polls of the configuration, and the leader of group 0 divides each limit by demand, with a token bucket for each server. Without a leader an equal share holds. One function chooses the server of first sends, retries and resumptions, so all of them count. Refused at once, with the pause of an equal share as Retry-After, is what no server may take.

--- a/libs/core/include/core/controller/controller.hpp
+++ b/libs/core/include/core/controller/controller.hpp
@@ -17,6 +17,7 @@
 #include <core/event.hpp>
 #include <core/identity.hpp>
 #include <core/limits/rate_authority.hpp>
+#include <core/limits/server_limit_authority.hpp>
 #include <core/manifest/manifest.hpp>
 #include <core/store/change_index.hpp>
 #include <core/store/control_state.hpp>
@@ -143,6 +144,7 @@
     std::optional<manifest::manifest> manifest; ///< control.manifest, parsed
     std::optional<wire::route_table> routes; ///< control.routes, decoded
     membership members;
+    limits::server_limit_authority requestLimits; ///< while leading group 0
     std::map<std::string, std::string> peerRoles; ///< of connected processes, by name
     bool isReady = false;
     bool isStandby = false; ///< hosts no group
--- a/libs/core/include/core/controller_client/config_poll.hpp
+++ b/libs/core/include/core/controller_client/config_poll.hpp
@@ -18,6 +18,9 @@
     time_point nextAt {};
 };
 
+/// @return whether pollConfiguration() would send a poll now.
+bool isPollDue(const poll_state& poll, std::chrono::milliseconds interval, time_point now);
+
 /**
  * Sends a poll when it is due.
  *
--- a/libs/core/include/core/event.hpp
+++ b/libs/core/include/core/event.hpp
@@ -242,7 +242,10 @@
     bool isSigned = false; ///< bears the proof that a backend server made it
     bool isEncoded = false; ///< the body is not the server's own bytes
     std::int64_t length = -1; ///< of the body; -1: not known
-    MSGPACK_DEFINE(request, status, headers, notRun, attempt, isSigned, isEncoded, length)
+    bool statesLimit = false; ///< the server limits the requests that it takes
+    double requestsPerSecond = -1; ///< that limit, over all gateways; below 0: it can't be read
+    MSGPACK_DEFINE(
+        request, status, headers, notRun, attempt, isSigned, isEncoded, length, statesLimit, requestsPerSecond)
 };
 
 enum class server_reachability : std::uint8_t {
--- a/libs/core/include/core/forward/forwarder.hpp
+++ b/libs/core/include/core/forward/forwarder.hpp
@@ -13,6 +13,7 @@
 #include <core/effect.hpp>
 #include <core/event.hpp>
 #include <core/forward/crash_tracker.hpp>
+#include <core/forward/demand_meter.hpp>
 #include <core/forward/forward_call.hpp>
 #include <core/forward/forwarder_settings.hpp>
 #include <core/forward/program_memory.hpp>
@@ -75,6 +76,7 @@
     limits::lease_holder rate;
     server_table servers;
     crash_tracker crashes;
+    std::map<std::string, demand_meter> demand; ///< by service
     turn_cache turns;
     std::unordered_map<exchange_id, forward_call> calls;
     std::set<std::pair<time_point, exchange_id>> expiries; ///< of all calls
--- a/libs/core/include/core/forward/forwarder_settings.hpp
+++ b/libs/core/include/core/forward/forwarder_settings.hpp
@@ -7,6 +7,7 @@
 
 #include <base/json.hpp>
 #include <core/controller_client/controller_client.hpp>
+#include <core/forward/request_allowance.hpp>
 
 namespace cuminledge::core::forward {
 
@@ -23,6 +24,7 @@
     std::chrono::milliseconds shutdownDelay { 2'500 }; ///< after SIGTERM: connections are still accepted while the load balancer notices
     std::chrono::milliseconds shutdownLimit { 4'500 }; ///< after shutdownDelay: longest wait for the requests under way
     std::size_t cacheBytes = 24U << 20U; ///< capacity of the turn cache
+    allowance_settings allowances; ///< of servers that limit their requests
     std::size_t maxCalls = 4'000; ///< concurrent calls; further requests are refused
 };
 
--- a/libs/core/include/core/forward/server_table.hpp
+++ b/libs/core/include/core/forward/server_table.hpp
@@ -13,6 +13,7 @@
 
 #include <base/clock.hpp>
 #include <core/event.hpp>
+#include <core/forward/request_allowance.hpp>
 #include <wire/control_messages.hpp>
 
 /// The backend servers known to a forwarding gateway, and how it chooses among them.
@@ -37,6 +38,7 @@
     std::uint32_t failures = 0; ///< consecutive
     time_point avoidUntil {}; ///< after a failure: other servers are preferred until then
     prompt_cache_estimate promptCache;
+    request_allowance allowance;
 };
 
 /// Parameters of the cost estimate. All costs are in milliseconds so that they can be added.
@@ -46,6 +48,12 @@
     double serviceRequestMs = 8; ///< the same for a plain service
     double otherDomainMs = 12; ///< round trip and traffic between failure domains
     double excessRequestMs = 60; ///< for each request beyond the server's slots
+    double limitedServerMs = 20; ///< for a server that limits its requests, while all others are idle
+    double fullEnough = 0.25; ///< utilization of the others from which on a server that limits its requests is as good
+    double defaultSlots = 8; ///< of a server whose slots are not configured
+    /// A server whose limit was stated so long ago is preferred for a request: only its answer shows a change.
+    std::chrono::milliseconds limitRefreshInterval { 1'000 };
+    double limitRefreshMs = 1'000; ///< by which such a server is preferred
     std::int64_t defaultCacheTokens = 400'000; ///< used for an engine whose cache size is not configured
     std::chrono::milliseconds avoidTime { 500 }; ///< after a failure; doubles with each consecutive one
     std::chrono::milliseconds maxAvoidTime { 4'000 };
@@ -54,6 +62,7 @@
 struct server_table {
     choice_settings settings;
     std::string failureDomain; ///< of this gateway
+    std::uint32_t gatewayCount = 0; ///< that send to these servers; 0: not known
     std::map<std::string, server_entry> servers; ///< by id
 };
 
--- a/libs/core/src/controller/config.cpp
+++ b/libs/core/src/controller/config.cpp
@@ -154,6 +154,8 @@
     addKeys(builder, r.state.control, poll.keyRevision);
     addQuarantine(builder, r.state.control, poll.quarantineRevision);
     addMembership(r, builder, poll);
+    builder.update.allowances = limits::grantAllowances(r.state.requestLimits, peer, poll.limitReports, r.now, r.random);
+    builder.update.gatewayCount = limits::countGateways(r.state.requestLimits, r.now);
     builder.update.lease = builder.isPartial ? std::chrono::milliseconds(0) : r.state.settings.configLease;
     r.out.emplace_back(send_message { peer, std::move(builder.update) });
 }
--- a/libs/core/src/controller/membership.cpp
+++ b/libs/core/src/controller/membership.cpp
@@ -179,6 +179,8 @@
 {
     r.state.members = {};
     r.state.members.epoch = epoch;
+    r.state.requestLimits = {};
+    r.state.requestLimits.startedAt = r.now;
     // A sidecar needs up to a lease to notice that the old leader is gone, and again to find the new one.
     r.state.members.completeAt = r.now + 2 * r.state.settings.announceLease;
     takeOverServers(r);
--- a/libs/core/src/controller_client/config_poll.cpp
+++ b/libs/core/src/controller_client/config_poll.cpp
@@ -12,16 +12,19 @@
 
 } // namespace
 
+bool isPollDue(const poll_state& poll, std::chrono::milliseconds interval, time_point now)
+{
+    const bool unanswered = poll.request != 0;
+    return now >= poll.nextAt && (!unanswered || now >= poll.sentAt + interval * pollPatience);
+}
+
 void pollConfiguration(client_state& client, poll_state& poll, wire::config_poll held,
     std::chrono::milliseconds interval, time_point now, effects& out)
 {
-    if (now < poll.nextAt) {
+    if (!isPollDue(poll, interval, now)) {
         return;
     }
     const bool unanswered = poll.request != 0;
-    if (unanswered && now < poll.sentAt + interval * pollPatience) {
-        return;
-    }
     if (unanswered) {
         client.leaders.erase(systemGroup);
     }
--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -8,6 +8,7 @@
 
 #include "answers.hpp"
 #include "crashes.hpp"
+#include "server_limits.hpp"
 #include "stream_origin.hpp"
 #include "turns.hpp"
 
@@ -97,6 +98,7 @@
         ++c.state.counters.sends;
         c.state.callByUpstream[call.upstream] = call.exchange;
         recordRequestSent(c.state.servers, call.server);
+        recordSendToServer(c, call.server);
         const auto& request = call.request;
         forward_upstream effect;
         effect.request = call.upstream;
@@ -255,11 +257,12 @@
         std::uniform_real_distribution<double> draw(0, 1);
         call.service = drawService(call.route, draw(c.random));
     }
+    recordDemand(c, call.service);
     const auto server = selectServer(c, call);
     if (!server) {
         const auto version = call.origin.service.empty() ? "" : " at version " + call.origin.softwareVersion;
         const refusal none { error_code::Unavailable, "no server of " + call.service + version + " may take the request",
-            c.state.settings.defaultRetryAfter };
+            retryAfterLimits(c, call.service) };
         failCall(c, call, none);
         return;
     }
@@ -276,6 +279,9 @@
         return;
     }
     const bool isForOtherRequest = !head.attempt.empty() && head.attempt != call->request.attempt;
+    if (!isForOtherRequest) {
+        noteStatedLimit(c, *call, head);
+    }
     if (head.notRun && !isForOtherRequest) {
         c.out.emplace_back(cancel_upstream { head.request });
         // A full server is healthy, but other servers are preferred for a while.
--- a/libs/core/src/forward/configuration.cpp
+++ b/libs/core/src/forward/configuration.cpp
@@ -4,6 +4,7 @@
 
 #include "crashes.hpp"
 #include "lifecycle.hpp"
+#include "server_limits.hpp"
 
 namespace cuminledge::core::forward {
 
@@ -57,11 +58,15 @@
 void pollConfiguration(context& c)
 {
     const auto& configuration = c.state.configuration;
+    if (!controller_client::isPollDue(configuration.poll, pollInterval(c), c.now)) {
+        return;
+    }
     wire::config_poll poll;
     poll.routesVersion = configuration.table.version;
     poll.membershipEpoch = configuration.membershipEpoch;
     poll.membershipVersion = configuration.membershipVersion;
     poll.quarantineRevision = c.state.crashes.quarantine.revision;
+    poll.limitReports = makeLimitReports(c);
     controller_client::pollConfiguration(
         c.state.controllers, c.state.configuration.poll, poll, pollInterval(c), c.now, c.out);
 }
@@ -79,6 +84,7 @@
     logServers(c, update.backends);
     applyMembership(c.state.servers, update.backends, update.membershipComplete);
     applyCrashRecords(c, update);
+    applyAllowances(c, update, sentAt);
     configuration.membershipEpoch = update.membershipEpoch;
     configuration.membershipVersion = update.membershipVersion;
     updateReadiness(c);
--- a/libs/core/src/forward/dump.cpp
+++ b/libs/core/src/forward/dump.cpp
@@ -21,6 +21,7 @@
             server["in_flight"] = entry.inFlight;
             server["failures"] = entry.failures;
             server["avoided"] = c.now < entry.avoidUntil;
+            server["requests_per_s"] = entry.allowance.isLimited ? Json::Value(entry.allowance.requestsPerSecond) : Json::Value();
             server["known_tokens"] = Json::Int64(entry.promptCache.tokens);
             servers.append(server);
         }
--- a/libs/core/src/forward/server_table.cpp
+++ b/libs/core/src/forward/server_table.cpp
@@ -40,6 +40,7 @@
             entry.promptCache = {};
             entry.failures = 0;
             entry.avoidUntil = {};
+            entry.allowance = {};
         }
         entry.record = record;
         entry.isGone = false;
@@ -62,21 +63,56 @@
         return softwareVersion == nullptr || (!softwareVersion->empty() && record.softwareVersion == *softwareVersion);
     }
 
-    bool isEligible(const server_entry& entry, const server_requirements& requirements)
+    bool isEligible(const server_entry& entry, const server_requirements& requirements, time_point now)
     {
         const auto& record = entry.record;
         const bool isExcluded = requirements.excluded != nullptr && requirements.excluded->contains(record.backend);
         return record.service == requirements.service && hasVersion(record, requirements.softwareVersion) && !entry.isGone
-            && !record.draining && !isExcluded;
+            && !record.draining && !isExcluded && maySend(entry.allowance, now);
     }
 
-    double estimateCostMs(const server_table& table, const server_entry& entry, const server_requirements& requirements)
+    /// Estimates how full the servers are that do not limit their requests. The other gateways are taken to have as many
+    /// requests under way as this one.
+    /// @return 0: idle; 1: every slot is taken; none if all servers limit their requests.
+    std::optional<double> utilizationOfOthers(const server_table& table, const server_requirements& requirements, time_point now)
+    {
+        double slots = 0;
+        double inFlight = 0;
+        for (const auto& [id, entry] : table.servers) {
+            if (!entry.allowance.isLimited && isEligible(entry, requirements, now)) {
+                slots += requirements.slots != 0 ? requirements.slots : table.settings.defaultSlots;
+                inFlight += entry.inFlight;
+            }
+        }
+        return slots == 0 ? std::nullopt : std::optional(inFlight * std::max<std::uint32_t>(table.gatewayCount, 1) / slots);
+    }
+
+    /// @return the cost of a server that limits its requests: others come first while they have room.
+    double limitedServerCostMs(const server_table& table, const server_requirements& requirements, time_point now)
+    {
+        const auto& settings = table.settings;
+        const bool hasLimits = std::any_of(table.servers.begin(), table.servers.end(), [&](const auto& entry) {
+            return entry.second.allowance.isLimited && entry.second.record.service == requirements.service;
+        });
+        if (!hasLimits) {
+            return 0;
+        }
+        const auto utilization = utilizationOfOthers(table, requirements, now).value_or(0);
+        return settings.limitedServerMs * (1 - utilization / settings.fullEnough);
+    }
+
+    double estimateCostMs(const server_table& table, const server_entry& entry, const server_requirements& requirements,
+        double limitedCostMs, time_point now)
     {
         const auto& settings = table.settings;
         double cost = entry.inFlight * (requirements.isEngine ? settings.engineRequestMs : settings.serviceRequestMs);
         if (requirements.slots != 0 && entry.inFlight >= requirements.slots) {
             cost += settings.excessRequestMs * (entry.inFlight - requirements.slots + 1);
         }
+        if (entry.allowance.isLimited) {
+            const bool isStale = now - entry.allowance.observedAt >= settings.limitRefreshInterval;
+            cost += isStale ? -settings.limitRefreshMs : limitedCostMs;
+        }
         if (entry.record.failureDomain != table.failureDomain) {
             cost += settings.otherDomainMs;
         }
@@ -118,15 +154,16 @@
 {
     // Random jitter spreads requests over equal servers, so that not all gateways choose the same one.
     std::uniform_real_distribution<double> jitter(0, 1);
+    const double limitedCostMs = limitedServerCostMs(table, requirements, now);
     const server_entry* best = nullptr;
     bool isBestAvoided = false;
     double bestCost = 0;
     for (const auto& [id, entry] : table.servers) {
-        if (!isEligible(entry, requirements)) {
+        if (!isEligible(entry, requirements, now)) {
             continue;
         }
         const bool isAvoided = now < entry.avoidUntil;
-        const double cost = estimateCostMs(table, entry, requirements) + jitter(random);
+        const double cost = estimateCostMs(table, entry, requirements, limitedCostMs, now) + jitter(random);
         const bool isBetter = best == nullptr || (isBestAvoided && !isAvoided)
             || (isBestAvoided == isAvoided && cost < bestCost);
         if (isBetter) {
--- a/libs/wire/include/wire/control_messages.hpp
+++ b/libs/wire/include/wire/control_messages.hpp
@@ -35,6 +35,28 @@
 // Configuration: what a gateway must know to serve. Answered by the leader of group 0 while it holds its lease.
 //------------------------------------------------------------------------------------------------------------------
 
+/// What a gateway knows and needs of a backend server that limits the requests it takes.
+struct server_limit_report {
+    std::string server;
+    std::uint64_t incarnation = 0; ///< of the server
+    bool isLimited = true; ///< false: the server's last answer stated no limit any more
+    double requestsPerSecond = 0; ///< that the server takes from all gateways together
+    std::chrono::milliseconds observedAge { 0 }; ///< time since the answer that said so
+    std::uint64_t sent = 0; ///< requests that this gateway has sent to the server, a total since its start
+    double wanted = 0; ///< requests that it is expected to send until its next poll is answered
+    MSGPACK_DEFINE(server, incarnation, isLimited, requestsPerSecond, observedAge, sent, wanted)
+};
+
+/// What a gateway may send to a backend server that limits the requests it takes.
+struct server_allowance {
+    std::string server;
+    std::uint64_t incarnation = 0;
+    double requestsPerSecond = 0; ///< the server's limit over all gateways
+    std::chrono::milliseconds observedAge { 0 }; ///< time since the answer of the server that stated it
+    std::uint64_t maxSent = 0; ///< upper bound of the gateway's total of requests sent
+    MSGPACK_DEFINE(server, incarnation, requestsPerSecond, observedAge, maxSent)
+};
+
 struct config_poll {
     std::uint64_t request = 0;
     std::uint64_t manifestNumber = 0; ///< what the gateway holds
@@ -43,8 +65,9 @@
     std::uint64_t membershipVersion = 0;
     std::uint64_t quarantineRevision = 0;
     std::uint64_t routesVersion = 0;
+    std::vector<server_limit_report> limitReports;
     MSGPACK_DEFINE(request, manifestNumber, keyRevision, membershipEpoch, membershipVersion, quarantineRevision,
-        routesVersion)
+        routesVersion, limitReports)
 };
 
 struct key_record {
@@ -111,9 +134,11 @@
     std::vector<quarantine_record> quarantine;
     std::uint64_t routesVersion = 0;
     std::string routes; ///< coded route_table, only where the gateway's version differs
+    std::vector<server_allowance> allowances; ///< one for each server known to limit its requests
+    std::uint32_t gatewayCount = 0; ///< gateways that poll; 0: not known yet
     MSGPACK_DEFINE(request, notLeader, leader, lease, groupCount, manifestNumber, manifest, keysComplete, keyRevision,
         keys, membershipComplete, membershipEpoch, membershipVersion, backends, quarantineComplete, quarantineRevision,
-        quarantine, routesVersion, routes)
+        quarantine, routesVersion, routes, allowances, gatewayCount)
 };
 
 //------------------------------------------------------------------------------------------------------------------
