Believe a refusal only if it names the request that it refuses

Cause: onUpstreamHead took a refusal without an attempt id for this request's. Servers echo the id, so a head without one may be a copy of an earlier refusal on a kept connection.

Now such a head is a lost answer: an unsafe request ends as possibly run, and an idempotent one counts the send as a run. Looked at beside it, and no fault: a second send of one attempt carries the same id, but goes to another server on another connection; and a connection on which a refusal was read is closed.

--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -282,7 +282,9 @@
     if (!isForOtherRequest) {
         noteStatedLimit(c, *call, head);
     }
-    if (head.notRun && !isForOtherRequest) {
+    // A refusal that names no request may be a copy of an earlier one on the connection.
+    const bool isRefusal = head.notRun && !head.attempt.empty() && !isForOtherRequest;
+    if (isRefusal) {
         c.out.emplace_back(cancel_upstream { head.request });
         // A full server is healthy, but other servers are preferred for a while.
         releaseServer(c, *call, true);
@@ -291,7 +293,7 @@
     }
     const bool isRetried = head.status >= firstServerError && canRunAgain(c, *call);
     const bool endsStream = call->answer.hasBegun && !isSuccess(head.status);
-    if (isForOtherRequest || !head.isSigned || head.isEncoded || isRetried || endsStream) {
+    if (isForOtherRequest || head.notRun || !head.isSigned || head.isEncoded || isRetried || endsStream) {
         c.out.emplace_back(cancel_upstream { head.request });
         releaseServer(c, *call, true);
         onAnswerLost(c, *call, isForOtherRequest ? "an answer to another request" : "status " + std::to_string(head.status));
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -439,3 +439,24 @@
     CHECK(left->peer == "10.0.0.3:7");
     CHECK_FALSE(client.leaders.contains(0));
 }
+
+// Guards against a server that writes an earlier refusal once more, which is believed for a request that it runs.
+TEST_CASE("A refusal that does not name the request proves nothing", "[forward]")
+{
+    forward_gateway gateway;
+    gateway.configure();
+    const auto target = GENERATE(as<std::string>(), "/pay/1", "/chat/1");
+    gateway.dispatch(gateway.makeRequest(target));
+    const auto sent = gateway.takeEffect<forward_upstream>();
+    REQUIRE(sent);
+    auto refusal = forward_gateway::makeHead(*sent, GENERATE(503U, 429U, 421U));
+    refusal.isSigned = false;
+    refusal.notRun = true;
+    refusal.attempt = GENERATE(as<std::string>(), "", "an earlier request");
+    gateway.dispatch(refusal);
+    CHECK_FALSE(gateway.takeEffect<forward_upstream>());
+    CHECK(gateway.takeEffect<cancel_upstream>());
+    const auto answer = gateway.takeEffect<refuse_caller>();
+    REQUIRE(answer);
+    CHECK(answer->mayHaveRun);
+}
