Let only events of the same stream into a stream that goes on at another server

Cause: the head of the next server was looked at for its status alone, and every block of bytes up to a blank line was forwarded as an event. So an error under status 200, a text with a blank line, an answer's head within the body and a stream that begins anew all went to the caller.

Now the next head must have the media type of the first, a block without data may hold only the fields of an event, and in a numbered stream each event has an id beyond the last one. Anything else is a lost answer. Lines that servers add to an event with data, comments, retry times and gaps in the ids pass.

--- a/libs/core/include/core/forward/event_splitter.hpp
+++ b/libs/core/include/core/forward/event_splitter.hpp
@@ -12,6 +12,8 @@
     std::string id; ///< value of the id field; empty: none
     std::string data; ///< values of the data fields, joined by line feeds
     std::string bytes; ///< as received, including the terminating blank line
+    bool hasData = false;
+    bool isWellFormed = true; ///< false: it has no data, and a line that no event has, e.g. the text of an error
 };
 
 /// Buffers the bytes of an event stream that do not form a complete event yet.
--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -9,6 +9,7 @@
 #include "answers.hpp"
 #include "crashes.hpp"
 #include "server_limits.hpp"
+#include "stream_checks.hpp"
 #include "stream_origin.hpp"
 #include "turns.hpp"
 
@@ -228,6 +229,18 @@
         return call.route.isStream && isSuccess(call.answer.status);
     }
 
+    /// Forwards the events in order. @return why the stream was given up, or null.
+    const char* forwardEvents(context& c, forward_call& call, std::vector<sse_event>&& events)
+    {
+        for (auto& event : events) {
+            if (const auto* fault = faultOf(call, event)) {
+                return fault;
+            }
+            forwardEvent(c, call, std::move(event));
+        }
+        return nullptr;
+    }
+
     /// Forwards the buffered part of the body, which is complete or has grown too large to buffer.
     void forwardBody(context& c, forward_call& call)
     {
@@ -292,7 +305,7 @@
         return;
     }
     const bool isRetried = head.status >= firstServerError && canRunAgain(c, *call);
-    const bool endsStream = call->answer.hasBegun && !isSuccess(head.status);
+    const bool endsStream = call->answer.hasBegun && !continuesStream(call->answer, head);
     if (isForOtherRequest || head.notRun || !head.isSigned || head.isEncoded || isRetried || endsStream) {
         c.out.emplace_back(cancel_upstream { head.request });
         releaseServer(c, *call, true);
@@ -317,11 +330,13 @@
         return;
     }
     if (isEventStream(*call)) {
-        const bool fits = feed(call->answer.events, data.data,
-            [&](sse_event&& event) { forwardEvent(c, *call, std::move(event)); });
-        if (!fits) {
+        std::vector<sse_event> events;
+        const bool fits = feed(
+            call->answer.events, data.data, [&](sse_event&& event) { events.push_back(std::move(event)); });
+        const auto* fault = forwardEvents(c, *call, std::move(events));
+        if (fault != nullptr || !fits) {
             stopUpstream(c, *call, true);
-            onAnswerLost(c, *call, "an event over its size limit");
+            onAnswerLost(c, *call, fault != nullptr ? fault : "an event over its size limit");
         }
         return;
     }
--- a/libs/core/src/forward/event_splitter.cpp
+++ b/libs/core/src/forward/event_splitter.cpp
@@ -1,5 +1,7 @@
 #include <core/forward/event_splitter.hpp>
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace cuminledge::core::forward {
@@ -15,23 +17,33 @@
         return value;
     }
 
-    void parseLine(sse_event& event, std::string_view line, bool& hasData)
+    /// @return whether the line may stand in an event without data.
+    bool isKnownField(std::string_view line)
+    {
+        constexpr std::array<std::string_view, 4> names { "id", "event", "retry", "data" };
+        const auto name = line.substr(0, line.find(':'));
+        return name.empty() || std::find(names.begin(), names.end(), name) != names.end();
+    }
+
+    void parseLine(sse_event& event, std::string_view line, bool& hasUnknownLine)
     {
         constexpr std::string_view idField = "id:";
         constexpr std::string_view dataField = "data:";
         if (line.starts_with(idField)) {
             event.id = valueOf(line, idField);
         } else if (line.starts_with(dataField)) {
-            event.data += hasData ? "\n" : "";
+            event.data += event.hasData ? "\n" : "";
             event.data += valueOf(line, dataField);
-            hasData = true;
+            event.hasData = true;
+        } else {
+            hasUnknownLine = hasUnknownLine || !isKnownField(line);
         }
     }
 
     sse_event parseEvent(std::string bytes)
     {
         sse_event event;
-        bool hasData = false;
+        bool hasUnknownLine = false;
         std::size_t start = 0;
         while (start < bytes.size()) {
             const auto end = bytes.find('\n', start);
@@ -39,9 +51,10 @@
             if (!line.empty() && line.back() == '\r') {
                 line.remove_suffix(1);
             }
-            parseLine(event, line, hasData);
+            parseLine(event, line, hasUnknownLine);
             start = end + 1;
         }
+        event.isWellFormed = event.hasData || !hasUnknownLine;
         event.bytes = std::move(bytes);
         return event;
     }
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -460,3 +460,77 @@
     REQUIRE(answer);
     CHECK(answer->mayHaveRun);
 }
+
+namespace {
+
+/// Begins a resumable stream, breaks it after its first event and takes the send that resumes it.
+forward_upstream breakStream(forward_gateway& gateway)
+{
+    gateway.dispatch(gateway.makeRequest("/draft/1"));
+    const auto first = gateway.takeEffect<forward_upstream>();
+    REQUIRE(first);
+    auto head = forward_gateway::makeHead(*first);
+    head.headers = { { "content-type", "text/event-stream" } };
+    gateway.dispatch(head);
+    gateway.dispatch(upstream_data { first->request, "id: 1\ndata: one\n\n" });
+    gateway.dispatch(upstream_failed { first->request, upstream_phase::Answering, "reset" });
+    const auto second = gateway.takeEffect<forward_upstream>();
+    REQUIRE(second);
+    gateway.out.clear();
+    return *second;
+}
+
+} // namespace
+
+// Guards against an error that reaches the caller in the middle of its stream, or ends the stream as if it were complete.
+TEST_CASE("What the next server of a broken stream sends in place of events is not forwarded", "[forward]")
+{
+    forward_gateway gateway;
+    gateway.configure();
+    const auto second = breakStream(gateway);
+    auto head = forward_gateway::makeHead(second);
+    head.headers = { { "content-type", "text/event-stream" } };
+    std::string bytes;
+    SECTION("an error under status 200")
+    {
+        head.headers = { { "content-type", "application/json" } };
+        bytes = "data: {\"error\": \"overloaded\"}\n\n";
+    }
+    SECTION("an error without a type")
+    {
+        head.headers.clear();
+        bytes = "id: 2\ndata: error\n\n";
+    }
+    SECTION("a text") { bytes = "Internal error\n\n"; }
+    SECTION("an error as JSON") { bytes = "{\"error\": {\"message\": \"data: none\"}}\r\n\r\n"; }
+    SECTION("a whole answer") { bytes = "HTTP/1.1 500 Internal Server Error\r\ncontent-type: text/plain\r\n\r\nno\n\n"; }
+    SECTION("an error event without an id") { bytes = "event: error\ndata: overloaded\n\n"; }
+    SECTION("the stream from its start") { bytes = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n"; }
+    gateway.dispatch(head);
+    gateway.dispatch(upstream_data { second.request, bytes });
+    gateway.dispatch(upstream_finished { second.request });
+    CHECK_FALSE(gateway.takeEffect<answer_data>());
+    CHECK_FALSE(gateway.takeEffect<end_answer>());
+    CHECK(gateway.takeEffect<abort_exchange>());
+    CHECK(gateway.state.calls.empty());
+}
+
+// Guards against sound streams that are given up: comments, retry times, gaps in the ids and lines that servers add.
+TEST_CASE("All that an event stream may hold is forwarded", "[forward]")
+{
+    forward_gateway gateway;
+    gateway.configure();
+    const auto second = breakStream(gateway);
+    auto head = forward_gateway::makeHead(second);
+    head.headers = { { "content-type", "text/event-stream" } };
+    gateway.dispatch(head);
+    const std::string bytes = ": keep-alive\n\nretry: 100\n\nweight-versions: 3\nid: 2\ndata: two\n\nid: 7\nevent: end\ndata\ndata:\n\n";
+    gateway.dispatch(upstream_data { second.request, bytes });
+    gateway.dispatch(upstream_finished { second.request });
+    std::string forwarded;
+    while (const auto data = gateway.takeEffect<answer_data>()) {
+        forwarded = data->data + forwarded;
+    }
+    CHECK(forwarded == bytes);
+    CHECK(gateway.takeEffect<end_answer>());
+}
