Test answers that are cut at every byte of their head, and bodies that end with their connection

It cuts four kinds of head after each byte, and tells a body without length or chunks that is closed (whole) from one that is reset (broken off).

--- /dev/null
+++ b/libs/net/tests/test_cut_answers.cpp
@@ -0,0 +1,104 @@
+#include <net/http_client.hpp>
+
+#include <optional>
+
+#include <catch2/catch.hpp>
+
+#include "loopback.hpp"
+
+using namespace cuminledge::net;
+using namespace cuminledge::net::test;
+
+namespace {
+
+enum class server_end {
+    Close,
+    Reset
+};
+
+/// What the client reported of one request.
+struct report {
+    std::string body;
+    bool isFinished = false;
+    std::optional<request_phase> failed;
+};
+
+/// Sends one request to a server that writes the bytes and ends the connection.
+report exchange(const std::string& bytes, server_end end)
+{
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    context_thread thread;
+    report seen;
+    std::optional<http_client> client;
+    thread.call([&] {
+        http_client_handlers handlers;
+        handlers.onResponse = [](const std::string&, response_head&&) {};
+        handlers.onData = [&](const std::string&, std::string&& data) { seen.body += data; };
+        handlers.onFinished = [&](const std::string&) { seen.isFinished = true; };
+        handlers.onFailed = [&](const std::string&, request_phase phase, const std::string&) { seen.failed = phase; };
+        client.emplace(thread.context(), http_client_settings {}, std::move(handlers));
+        client_request request;
+        request.request = "r";
+        request.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        request.target = "/x";
+        client->start(std::move(request));
+    });
+    {
+        auto socket = acceptor.accept();
+        std::string head;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(head), "\r\n\r\n");
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        if (end == server_end::Reset) {
+            // A reset discards what the client has not read yet.
+            thread.waitFor([&] { return bytes.empty() || !seen.body.empty(); });
+            socket.set_option(boost::asio::socket_base::linger(true, 0));
+        }
+        socket.close(); // the destructor would not reset
+    }
+    thread.waitFor([&] { return seen.isFinished || seen.failed; });
+    thread.call([&] { client.reset(); });
+    return seen;
+}
+
+} // namespace
+
+// Guards against a head that breaks off and is passed on as a whole answer without a body.
+TEST_CASE("An answer that is cut within its head fails, wherever it is cut", "[cut]")
+{
+    const std::string whole = GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n");
+    const std::size_t endOfHead = whole.size() - 1;
+    for (std::size_t cut = 1; cut <= endOfHead; ++cut) {
+        const auto seen = exchange(whole.substr(0, cut), server_end::Close);
+        INFO("cut after " << cut << " of " << whole.size() << " bytes");
+        CHECK_FALSE(seen.isFinished);
+        CHECK(seen.failed == request_phase::Answering);
+    }
+}
+
+// Guards against a body without a length that counts as whole although its connection broke, or the other way round.
+TEST_CASE("An answer with neither a length nor chunks is whole if its connection is closed, not if it is reset", "[cut]")
+{
+    const std::string bytes = "HTTP/1.1 200 OK\r\n\r\nbody";
+    const auto closed = exchange(bytes, server_end::Close);
+    CHECK(closed.isFinished);
+    CHECK(closed.body == "body");
+    const auto reset = exchange(bytes, server_end::Reset);
+    CHECK_FALSE(reset.isFinished);
+    CHECK(reset.failed == request_phase::Answering);
+}
+
+// Guards against a cut in a body that states its length or comes in chunks.
+TEST_CASE("An answer that is cut within its body fails", "[cut]")
+{
+    for (const std::string bytes : { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbody",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" }) {
+        const auto seen = exchange(bytes, server_end::Close);
+        INFO(bytes);
+        CHECK_FALSE(seen.isFinished);
+        CHECK(seen.failed == request_phase::Answering);
+    }
+}
