Take a stream that ends before its first event for broken off

What callers would see: a whole, empty stream.

Bodies without a length were right already (test_cut_answers.cpp: closed is whole, reset is not), and so was a stream that ends within an event. A stream of which no event had come was passed on as complete. Now it is a lost answer, except where the caller resumes behind an event: nothing may follow there.

--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -352,11 +352,13 @@
     if (call == nullptr) {
         return;
     }
-    const bool isTruncated = isEventStream(*call) && !call->answer.events.partial.empty();
-    releaseServer(c, *call, isTruncated);
-    if (isTruncated) {
+    // The end of a connection may be the end of the body, so it does not show that the stream is whole.
+    const bool isWithinEvent = isEventStream(*call) && !call->answer.events.partial.empty();
+    const bool isEmpty = isEventStream(*call) && call->answer.eventCount == 0 && !resumesStream(*call);
+    releaseServer(c, *call, isWithinEvent || isEmpty);
+    if (isWithinEvent || isEmpty) {
         suspectCrash(c, *call);
-        onAnswerLost(c, *call, "the stream ended within an event");
+        onAnswerLost(c, *call, isEmpty ? "the stream ended before its first event" : "the stream ended within an event");
         return;
     }
     clearSuspicion(c, *call);
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -534,3 +534,22 @@
     CHECK(forwarded == bytes);
     CHECK(gateway.takeEffect<end_answer>());
 }
+
+// Guards against a stream that breaks off before its first event and reaches the caller as a whole, empty answer.
+TEST_CASE("A stream without an event is broken off, not complete", "[forward]")
+{
+    forward_gateway gateway;
+    gateway.configure();
+    const auto isResumable = GENERATE(false, true);
+    gateway.dispatch(gateway.makeRequest(isResumable ? "/draft/1" : "/chat/1"));
+    const auto sent = gateway.takeEffect<forward_upstream>();
+    REQUIRE(sent);
+    gateway.dispatch(forward_gateway::makeHead(*sent));
+    gateway.dispatch(upstream_finished { sent->request });
+    CHECK_FALSE(gateway.takeEffect<end_answer>());
+    if (isResumable) {
+        CHECK(gateway.takeEffect<forward_upstream>());
+    } else {
+        CHECK(gateway.takeEffect<refuse_caller>()->mayHaveRun);
+    }
+}
