Send nothing more to a server that says in an answer that it leaves

The gateway read announcements alone, which come by way of the controllers and are missing where these are out of reach. Now the start of a server that has said so gets no further request from this gateway at once, as one that announces that it drains. The mark outlives a lapse of its announcements, and ends with the next start under the id.

--- a/libs/core/include/core/event.hpp
+++ b/libs/core/include/core/event.hpp
@@ -244,8 +244,9 @@
     std::int64_t length = -1; ///< of the body; -1: not known
     bool statesLimit = false; ///< the server limits the requests that it takes
     double requestsPerSecond = -1; ///< that limit, over all gateways; below 0: it can't be read
-    MSGPACK_DEFINE(
-        request, status, headers, notRun, attempt, isSigned, isEncoded, length, statesLimit, requestsPerSecond)
+    bool isLeaving = false; ///< the server says that it ends soon
+    MSGPACK_DEFINE(request, status, headers, notRun, attempt, isSigned, isEncoded, length, statesLimit, requestsPerSecond,
+        isLeaving)
 };
 
 enum class server_reachability : std::uint8_t {
--- a/libs/core/include/core/forward/crash_tracker.hpp
+++ b/libs/core/include/core/forward/crash_tracker.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <chrono>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -24,13 +23,6 @@
  */
 namespace cuminledge::core::forward {
 
-/// One start of a backend server.
-struct server_start {
-    std::string server;
-    std::uint64_t incarnation = 0;
-    auto operator<=>(const server_start&) const = default;
-};
-
 /// A request whose exchange with a server ended without its answer.
 struct crash_suspect {
     std::string fingerprint;
--- a/libs/core/include/core/forward/server_table.hpp
+++ b/libs/core/include/core/forward/server_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -59,11 +60,21 @@
     std::chrono::milliseconds maxAvoidTime { 4'000 };
 };
 
+/// One start of a backend server.
+struct server_start {
+    std::string server;
+    std::uint64_t incarnation = 0;
+    auto operator<=>(const server_start&) const = default;
+};
+
 struct server_table {
     choice_settings settings;
     std::string failureDomain; ///< of this gateway
     std::uint32_t gatewayCount = 0; ///< that send to these servers; 0: not known
     std::map<std::string, server_entry> servers; ///< by id
+    /// Starts that have said in an answer that they end soon. Kept apart from the entries, which a server that misses its
+    /// announcements for a while loses.
+    std::set<server_start> leaving;
 };
 
 /// What a request requires of a server.
@@ -85,6 +96,10 @@
 std::optional<std::string> chooseServer(
     const server_table& table, const server_requirements& requirements, time_point now, std::mt19937_64& random);
 
+/// Records that the server has said in an answer that it ends soon; it gets no request any more.
+/// @return whether this was not known.
+bool recordLeaving(server_table& table, const server_start& start);
+
 /// Records that a request was sent to the server.
 void recordRequestSent(server_table& table, const std::string& server);
 
--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -229,6 +229,14 @@
         return call.route.isStream && isSuccess(call.answer.status);
     }
 
+    void noteLeaving(context& c, const forward_call& call, const upstream_head& head)
+    {
+        if (head.isLeaving && recordLeaving(c.state.servers, { call.server, call.serverIncarnation })) {
+            logCall(c, log_level::Info, "server_leaving", call,
+                { { "server", call.server }, { "incarnation", std::to_string(call.serverIncarnation) } });
+        }
+    }
+
     /// Forwards the events in order. @return why the stream was given up, or null.
     const char* forwardEvents(context& c, forward_call& call, std::vector<sse_event>&& events)
     {
@@ -294,6 +302,7 @@
     const bool isForOtherRequest = !head.attempt.empty() && head.attempt != call->request.attempt;
     if (!isForOtherRequest) {
         noteStatedLimit(c, *call, head);
+        noteLeaving(c, *call, head);
     }
     // A refusal that names no request may be a copy of an earlier one on the connection.
     const bool isRefusal = head.notRun && !head.attempt.empty() && !isForOtherRequest;
--- a/libs/core/src/forward/server_table.cpp
+++ b/libs/core/src/forward/server_table.cpp
@@ -63,12 +63,17 @@
         return softwareVersion == nullptr || (!softwareVersion->empty() && record.softwareVersion == *softwareVersion);
     }
 
-    bool isEligible(const server_entry& entry, const server_requirements& requirements, time_point now)
+    bool isLeaving(const server_table& table, const wire::backend_record& record)
+    {
+        return !table.leaving.empty() && table.leaving.contains({ record.backend, record.incarnation });
+    }
+
+    bool isEligible(const server_table& table, const server_entry& entry, const server_requirements& requirements, time_point now)
     {
         const auto& record = entry.record;
         const bool isExcluded = requirements.excluded != nullptr && requirements.excluded->contains(record.backend);
         return record.service == requirements.service && hasVersion(record, requirements.softwareVersion) && !entry.isGone
-            && !record.draining && !isExcluded && maySend(entry.allowance, now);
+            && !record.draining && !isLeaving(table, record) && !isExcluded && maySend(entry.allowance, now);
     }
 
     /// Estimates how full the servers are that do not limit their requests. The other gateways are taken to have as many
@@ -79,7 +84,7 @@
         double slots = 0;
         double inFlight = 0;
         for (const auto& [id, entry] : table.servers) {
-            if (!entry.allowance.isLimited && isEligible(entry, requirements, now)) {
+            if (!entry.allowance.isLimited && isEligible(table, entry, requirements, now)) {
                 slots += requirements.slots != 0 ? requirements.slots : table.settings.defaultSlots;
                 inFlight += entry.inFlight;
             }
@@ -159,7 +164,7 @@
     bool isBestAvoided = false;
     double bestCost = 0;
     for (const auto& [id, entry] : table.servers) {
-        if (!isEligible(entry, requirements, now)) {
+        if (!isEligible(table, entry, requirements, now)) {
             continue;
         }
         const bool isAvoided = now < entry.avoidUntil;
@@ -178,6 +183,15 @@
     return best->record.backend;
 }
 
+bool recordLeaving(server_table& table, const server_start& start)
+{
+    constexpr std::size_t maxLeaving = 10'000;
+    if (table.leaving.size() >= maxLeaving) {
+        table.leaving.erase(table.leaving.begin());
+    }
+    return table.leaving.insert(start).second;
+}
+
 void recordRequestSent(server_table& table, const std::string& server)
 {
     const auto found = table.servers.find(server);
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -553,3 +553,40 @@
         CHECK(gateway.takeEffect<refuse_caller>()->mayHaveRun);
     }
 }
+
+// Guards against requests that reach a server after it has said in an answer that it ends, while its announcements still
+// call it ready or are missing for a while.
+TEST_CASE("A server that says in an answer that it leaves gets no further request", "[forward]")
+{
+    forward_gateway gateway;
+    gateway.configure();
+    gateway.dispatch(gateway.makeRequest("/status/1"));
+    const auto sent = gateway.takeEffect<forward_upstream>();
+    REQUIRE(sent);
+    auto head = forward_gateway::makeHead(*sent, GENERATE(200U, 503U));
+    head.notRun = head.status != 200;
+    head.isLeaving = true;
+    gateway.dispatch(head);
+    gateway.dispatch(upstream_finished { sent->request });
+    gateway.out.clear();
+    SECTION("its announcements go on") { applyMembership(gateway.state.servers, { forward_gateway::makeServer(sent->backend, "shop") }, false); }
+    SECTION("it was missing for a while")
+    {
+        auto gone = forward_gateway::makeServer(sent->backend, "shop");
+        gone.withdrawn = true;
+        applyMembership(gateway.state.servers, { gone }, false);
+        applyMembership(gateway.state.servers, { forward_gateway::makeServer(sent->backend, "shop") }, false);
+    }
+    constexpr int requests = 20;
+    for (int i = 0; i < requests; ++i) {
+        gateway.dispatch(gateway.makeRequest("/pay/1"));
+        CHECK(gateway.takeEffect<forward_upstream>()->backend != sent->backend);
+    }
+    auto restarted = forward_gateway::makeServer(sent->backend, "shop");
+    restarted.incarnation = 2;
+    auto other = forward_gateway::makeServer(sent->backend == "s1" ? "s2" : "s1", "shop");
+    other.withdrawn = true;
+    applyMembership(gateway.state.servers, { restarted, other }, false);
+    gateway.dispatch(gateway.makeRequest("/pay/1"));
+    CHECK(gateway.takeEffect<forward_upstream>()->backend == sent->backend);
+}
