Let the field of a poll that is not given be empty, and order starts of servers by hand

Compiler warnings in two older tests (a field without an initializer) and the linter's parser (a defaulted three-way comparison). No behaviour changes.

--- a/libs/core/include/core/forward/server_table.hpp
+++ b/libs/core/include/core/forward/server_table.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <chrono>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -9,6 +8,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -64,7 +64,11 @@
 struct server_start {
     std::string server;
     std::uint64_t incarnation = 0;
-    auto operator<=>(const server_start&) const = default;
+
+    friend bool operator<(const server_start& left, const server_start& right)
+    {
+        return std::tie(left.server, left.incarnation) < std::tie(right.server, right.incarnation);
+    }
 };
 
 struct server_table {
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -529,7 +529,7 @@
     gateway.dispatch(upstream_finished { second.request });
     std::string forwarded;
     while (const auto data = gateway.takeEffect<answer_data>()) {
-        forwarded = data->data + forwarded;
+        forwarded.insert(0, data->data);
     }
     CHECK(forwarded == bytes);
     CHECK(gateway.takeEffect<end_answer>());
--- a/libs/wire/include/wire/control_messages.hpp
+++ b/libs/wire/include/wire/control_messages.hpp
@@ -65,7 +65,7 @@
     std::uint64_t membershipVersion = 0;
     std::uint64_t quarantineRevision = 0;
     std::uint64_t routesVersion = 0;
-    std::vector<server_limit_report> limitReports;
+    std::vector<server_limit_report> limitReports {};
     MSGPACK_DEFINE(request, manifestNumber, keyRevision, membershipEpoch, membershipVersion, quarantineRevision,
         routesVersion, limitReports)
 };
