Give the process test of crashing requests ports that no other test has

It failed once beside the others: its ports 24300 to 24500 are those of test_trace's stand-in engines and services (base port 24000). Traced by the controllers' logs: event=start_failed, Address already in use. Nothing of the system was at fault; with its own ports it passes beside the others.

--- a/tools/local/tests/test_crashing_requests.py
+++ b/tools/local/tests/test_crashing_requests.py
@@ -13,7 +13,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 BIN = ROOT / "build" / "bin"
-BASE_PORT = 24300
+BASE_PORT = 26300
 CONTROLLERS = ["127.0.0.1", "127.0.0.2", "127.0.0.3"]
 GATEWAYS = 2
 SERVERS = 6
