--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,55 +1,71 @@
-"""A conversation that was taken up again late is forgotten once the gateway that served it is killed.
+"""Streams of two software versions are joined when a server that was upgraded in place goes down and up.
 
-Turn B goes on from turn A, which was answered longer than retain_s ago; the gateway still holds A's text in its cache and
-serves B whole. B is to be kept, together with its chain, for retain_s from then on. The gateway is killed, and turn C,
-which goes on from B at once, is answered 404.
+Nine servers of one service run the software versions v1 and v2 side by side. One of them, i-0, goes down and up by turns.
+Its software was upgraded meanwhile, so it is back under its id and address with version v2. It goes down again before its
+first heartbeat is due, and the gateways let its streams go on at servers of v1. No more than two streams may hold events
+of two versions.
 """
 
+import threading
 import time
 
-from stage import CannotRun, TROUBLE, play, service, stream_route, tenants
+from stage import CONTACT_S, HEARTBEAT_S, TROUBLE, play, service, stream_route, tenants
 
-RETAIN_S = 20.0
-PAUSE_S = RETAIN_S + 18  # the group keeps turns for up to 15 s longer, as its clock advances in steps of 5 s
-PROGRAM = {"X_Cuminledge_Program_Id": "3fa81c", "X_Cuminledge_Session_Id": "77d20b",
-           "X_Cuminledge_Program_Deadline_Ms": 90000, "X_Cuminledge_Token_Budget": 4480,
-           "X_Cuminledge_Token_Usage": "1840,245"}
+VERSIONS = ["v1"] * 7 + ["v2"] * 2
+STREAMS = 72  # eight a server, which takes 16 at once
+EVENTS = 7
+EVENT_S = 0.15  # under gap_aim_ms
+PERIOD_S = 1.2  # of srv_flap: gap_s
+TIMES_DOWN = 4
+MOST_JOINED = 2
 
 
-def turn(stage, front, text, previous=""):
-    return stage.send(front, "/talk/1", text, X_Cuminledge_Previous_Turn=previous, **PROGRAM)
+def version_of(data):
+    return data.split(".")[0]
+
+
+def flap(stage, is_up):
+    """Takes i-0 down and up by turns; it ends up."""
+    for _ in range(TIMES_DOWN):
+        stage.kill("i-0")
+        time.sleep(PERIOD_S / 2)
+        stage.start_server("i-0", "engines", 0, version="v2", events=EVENTS, event_s=EVENT_S,
+                           first_beat_after_s=HEARTBEAT_S)
+        is_up.set()
+        time.sleep(PERIOD_S / 2)
 
 
 def story(stage):
     stage.start()
-    for i in range(2):
-        stage.start_server(f"i-{i}", "engines", i)
-    route = stream_route("/talk/", "engines", retain_context=True, retain_s=RETAIN_S)
-    stage.submit([route], [service("engines", True)], tenants())
-    for i in range(len(stage.front_ips)):
+    for i, version in enumerate(VERSIONS):
+        stage.start_server(f"i-{i}", "engines", i, version=version, events=EVENTS, event_s=EVENT_S)
+    stage.submit([stream_route("/draft/", "engines", resumable=True)], [service("engines", True)], tenants())
+    fronts = len(stage.front_ips)
+    for i in range(fronts):
         stage.wait_ready(i)
-        stage.wait_served(i, "/talk/1")
-    a = turn(stage, 0, b"The handle of the mamoty is 120 cm long.\n")
-    if not a.served_whole():
-        raise CannotRun("turn A was not served")
-    time.sleep(PAUSE_S)
-    b = turn(stage, 0, b"Which wood fits?\n", a.attempt)
-    answered_b = time.monotonic()
-    if not b.served_whole():
-        print(f"turn B: {b.status}; nothing was accepted, so nothing is owed")
-        return False
-    tries = []
+        stage.wait_served(i, "/draft/1")
+    time.sleep(CONTACT_S)
+    is_up = threading.Event()
+    flapping = threading.Thread(target=flap, args=(stage, is_up))
+    if TROUBLE:
+        flapping.start()
+        is_up.wait()
+    answers = []
+    clients = [threading.Thread(target=lambda k=k: answers.append(stage.send(k % fronts, "/draft/1", b"job %d" % k)))
+               for k in range(STREAMS)]
+    for client in clients:
+        client.start()
+    for client in clients:
+        client.join()
     if TROUBLE:
-        stage.kill("front-0")
-        tries.append(turn(stage, 1, b"And hickory?\n", b.attempt))
-        stage.start_machine("front", 0)
-        stage.wait_ready(0)
-    tries.append(turn(stage, 0, b"And hickory?\n", b.attempt))
-    since_s = time.monotonic() - answered_b
-    statuses = [c.status for c in tries]
-    stage.record("checked", previous=b.attempt, seconds_since_answered=round(since_s, 1), statuses=statuses)
-    print(f"turn B was answered whole; {since_s:.1f} s later the turns that go on from it got {statuses}")
-    return since_s < RETAIN_S and any(status in (404, 410) for status in statuses)
+        flapping.join()
+    joined = [answer for answer in answers if len({version_of(data) for _, data in answer.events}) > 1]
+    whole = sum(answer.served_whole() for answer in answers)
+    stage.record("checked", streams=len(answers), whole=whole, joined=[answer.attempt for answer in joined])
+    print(f"{len(answers)} streams, {whole} whole, {len(joined)} with events of two software versions")
+    for answer in joined[:3]:
+        print(answer.attempt, [data for _, data in answer.events])
+    return len(joined) > MOST_JOINED
 
 
 if __name__ == "__main__":
--- a/review/lib/client.py
+++ b/review/lib/client.py
@@ -3,6 +3,7 @@
 """
 
 import socket
+import time
 
 
 class CutOff(Exception):
@@ -18,6 +19,7 @@
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.socket.settimeout(timeout)
         self.buffer = b""
+        self.pace = None  # (bytes, seconds): what is read at once, and the pause after it
 
     def close(self):
         self.socket.close()
@@ -29,7 +31,9 @@
         self.socket.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
     def fill(self):
-        data = self.socket.recv(65536)
+        if self.pace:
+            time.sleep(self.pace[1])
+        data = self.socket.recv(self.pace[0] if self.pace else 65536)
         if not data:
             raise CutOff("the connection ended")
         self.buffer += data
--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -31,6 +31,7 @@
 CONTACT_S = 3.0
 START_GUARD_S = 30
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+KEPT_BODY_BYTES = 300
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
 BOUNDS = {"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4.6, "drain_ms": 2000,
@@ -90,7 +91,8 @@
         self.attempt = attempt
         self.status = 0
         self.events = []  # (id, data)
-        self.body = b""
+        self.body = b""  # its beginning
+        self.bytes = 0  # of the body
         self.complete = False
         self.problem = ""
 
@@ -212,14 +214,14 @@
             self.start_machine("front", i, True)
 
     def start_server(self, name, to, i, version="v1", engine=True, events=7, event_s=0.02,
-                     first_beat_after_s=0.0):
+                     first_beat_after_s=0.0, program="server.py"):
         settings = {"id": name, "address": f"{self.server_ips[i]}:{self.ports['server']}", "service": to,
                     "zone": "kandy-a", "version": version, "slots": 16, "engine": engine, "events": events,
                     "event_s": event_s, "heartbeat_s": HEARTBEAT_S, "first_beat_after_s": first_beat_after_s,
                     "controls": self.controls(), "runs_file": str(self.folder / "runs" / f"{name}.jsonl")}
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
-        self.launch(name, [sys.executable, str(LIB / "server.py"), str(path)])
+        self.launch(name, [sys.executable, str(LIB / program), str(path)])
         self.record("server_started", server=name, version=version, address=settings["address"])
         self.eventually(lambda: self.accepts(self.server_ips[i], self.ports["server"]), f"{name} listens")
 
@@ -317,7 +319,8 @@
         headers.update(extra)
         return headers
 
-    def send(self, i, path, body=b"", method="POST", quiet=False, connection=None, deadline_ms=3000, **extra):
+    def send(self, i, path, body=b"", method="POST", quiet=False, connection=None, deadline_ms=3000, pace=None,
+             **extra):
         """One client attempt at the front machine. Names of extra headers are written with underscores."""
         attempt = uuid.uuid4().hex[:16]
         answer = Answer(attempt)
@@ -328,8 +331,9 @@
         own = connection is None
         try:
             connection = connection or client.Connection(self.front(i), deadline_ms / 1000 + 1)
+            connection.pace = pace
             connection.send(method, path, self.headers(attempt, deadline_ms, extra), body)
-            self.read(connection, answer)
+            self.read(connection, answer, time.monotonic() + deadline_ms / 1000)
         except (OSError, ValueError, IndexError, client.CutOff) as problem:
             answer.problem = f"{type(problem).__name__}: {problem}"
         finally:
@@ -338,7 +342,7 @@
         if not quiet:
             self.record("answered", attempt=attempt, front=i, status=answer.status, complete=answer.complete,
                         events=[f"{number}:{data}" for number, data in answer.events],
-                        body=answer.body[:300].decode(errors="replace"), problem=answer.problem)
+                        body=answer.body.decode(errors="replace"), bytes=answer.bytes, problem=answer.problem)
         return answer
 
     def connect(self, i, timeout=10):
@@ -346,7 +350,7 @@
         return client.Connection(self.front(i), timeout)
 
     @staticmethod
-    def read(connection, answer):
+    def read(connection, answer, give_up_at):
         answer.status, headers = connection.head()
         is_stream = headers.get("content-type", "").startswith("text/event-stream")
         reader = client.EventReader()
@@ -354,7 +358,10 @@
             if is_stream:
                 answer.events += reader.feed(piece)
             else:
-                answer.body += piece
+                answer.bytes += len(piece)
+                answer.body = (answer.body + piece)[:KEPT_BODY_BYTES]
+            if time.monotonic() > give_up_at:
+                raise client.CutOff("the client's deadline has passed")
         answer.complete = True
 
 
