--- a/review/lib/server.py
+++ b/review/lib/server.py
@@ -3,6 +3,7 @@
 
 Usage: server.py SETTINGS.json
 Settings: id, address, service, zone, version, slots, controls, runs_file, heartbeat_s, first_beat_after_s, events, event_s.
+It streams as many events as a request's X-Cuminledge-Token-Usage allows, or `events` where a request has none.
 It appends one line of JSON to runs_file for each request that it begins to run, and for each event that it writes.
 """
 
@@ -17,6 +18,7 @@
 
 CALL_TIMEOUT_S = 1
 MAX_REDIRECTS = 2
+EVENT_TOKENS = 35
 
 
 class Announcer:
@@ -118,13 +120,15 @@
 
         def stream(self, attempt):
             last = int(self.headers.get("Last-Event-Id") or 0)
+            usage = self.headers.get("X-Cuminledge-Token-Usage", "")
+            events = int(usage.split(",")[1]) // EVENT_TOKENS if usage else settings["events"]
             self.send_response(200)
             self.send_header("Content-Type", "text/event-stream")
             self.send_header("X-Cuminledge-Attempt-Id", attempt)
             self.send_header("X-Cuminledge-Response-Signature", "s." + settings["id"])
             self.send_header("Transfer-Encoding", "chunked")
             self.end_headers()
-            for number in range(last + 1, settings["events"] + 1):
+            for number in range(last + 1, events + 1):
                 time.sleep(settings["event_s"])
                 event = f"id: {number}\ndata: {settings['version']}.{settings['id']}.{number}\n\n".encode()
                 self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
