--- a/review/lib/endless_server.py
+++ b/review/lib/endless_server.py
@@ -14,7 +14,7 @@
 from server import Announcer, Runs
 
 PIECE = b"x" * 262144
-LINK_BYTES_PER_S = 250_000_000  # of all answers together: 2,000 Mbit/s, the link of a server's machine
+LINK_BYTES_PER_S = 125_000_000  # of all answers together: 1,000 Mbit/s, the link of a front machine
 
 
 class Link:
