--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,71 +1,99 @@
-"""Streams of two software versions are joined when a server that was upgraded in place goes down and up.
+"""One server whose answers never end makes gateways use more memory than their machines have.
 
-Nine servers of one service run the software versions v1 and v2 side by side. One of them, i-0, goes down and up by turns.
-Its software was upgraded meanwhile, so it is back under its id and address with version v2. It goes down again before its
-first heartbeat is due, and the gateways let its streams go on at servers of v1. No more than two streams may hold events
-of two versions.
+One of three servers of a plain service sends bodies without end, until its caller closes. Clients pay, read at the pace of
+their link and leave at their deadline. The platform, as its pages say, ends a process that uses more than memory_mb and
+starts it again. A tenth of the machines in use, two at least, may not end three times in a day.
 """
 
 import threading
 import time
 
-from stage import CONTACT_S, HEARTBEAT_S, TROUBLE, play, service, stream_route, tenants
+from stage import CONTACT_S, HOST, TROUBLE, play, service, tenants
 
-VERSIONS = ["v1"] * 7 + ["v2"] * 2
-STREAMS = 72  # eight a server, which takes 16 at once
-EVENTS = 7
-EVENT_S = 0.15  # under gap_aim_ms
-PERIOD_S = 1.2  # of srv_flap: gap_s
-TIMES_DOWN = 4
-MOST_JOINED = 2
+MEMORY_MB = 110  # of a front machine of kgs-handle
+FRONTS = (0, 1)  # by turns
+PAYMENTS = 15  # at once at a front machine, about five for each server; a server takes six at once
+ROUNDS = 12
+ROUND_S = 2.5
+TIMES_ENDED = 3
+DEADLINE_MS = 1500
+READ_BYTES, READ_PAUSE_S = 65536, 0.005  # about 100 Mbit/s
+RESTART_S = 0.3
 
 
-def version_of(data):
-    return data.split(".")[0]
+def resident_mb(pid):
+    try:
+        with open(f"/proc/{pid}/status", encoding="ascii") as status:
+            return next(int(line.split()[1]) / 1000 for line in status if line.startswith("VmRSS"))
+    except (OSError, StopIteration):
+        return 0.0
 
 
-def flap(stage, is_up):
-    """Takes i-0 down and up by turns; it ends up."""
-    for _ in range(TIMES_DOWN):
-        stage.kill("i-0")
-        time.sleep(PERIOD_S / 2)
-        stage.start_server("i-0", "engines", 0, version="v2", events=EVENTS, event_s=EVENT_S,
-                           first_beat_after_s=HEARTBEAT_S)
-        is_up.set()
-        time.sleep(PERIOD_S / 2)
+class Platform:
+    """Ends each front machine's process that uses more than memory_mb, and starts it again."""
+
+    def __init__(self, stage):
+        self.stage = stage
+        self.ended = {i: 0 for i in range(len(stage.front_ips))}
+        self.peak = dict(self.ended)
+        self.stopping = False
+        self.thread = threading.Thread(target=self.watch)
+        self.thread.start()
+
+    def watch(self):
+        while not self.stopping:
+            for i in self.ended:
+                process = self.stage.processes[f"front-{i}"]
+                used = resident_mb(process.pid)
+                self.peak[i] = max(self.peak[i], used)
+                if used > MEMORY_MB:
+                    self.stage.record("over_memory", machine=f"front-{i}", used_mb=round(used), memory_mb=MEMORY_MB)
+                    self.ended[i] += 1
+                    self.stage.kill(f"front-{i}")
+                    time.sleep(RESTART_S)
+                    self.stage.start_machine("front", i)
+            time.sleep(0.005)
+
+    def stop(self):
+        self.stopping = True
+        self.thread.join()
+
+
+def pay(stage, front, text, answers):
+    answers.append(stage.send(front, "/call/pay", text, deadline_ms=DEADLINE_MS, pace=(READ_BYTES, READ_PAUSE_S)))
 
 
 def story(stage):
     stage.start()
-    for i, version in enumerate(VERSIONS):
-        stage.start_server(f"i-{i}", "engines", i, version=version, events=EVENTS, event_s=EVENT_S)
-    stage.submit([stream_route("/draft/", "engines", resumable=True)], [service("engines", True)], tenants())
-    fronts = len(stage.front_ips)
-    for i in range(fronts):
+    for i in range(3):
+        faulty = TROUBLE and i == 2
+        stage.start_server(f"c-{i}", "shop-actions", i, engine=False,
+                           program="endless_server.py" if faulty else "server.py")
+    route = {"name": "r-pay", "host": HOST, "path_prefix": "/call/", "kind": "unsafe", "timeout_ms": 1500,
+             "target_latency_ms": 150, "priority": 0, "service": "shop-actions", "max_attempts": 1, "public": False}
+    stage.submit([route], [service("shop-actions", False)], tenants())
+    for i in range(len(stage.front_ips)):
         stage.wait_ready(i)
-        stage.wait_served(i, "/draft/1")
     time.sleep(CONTACT_S)
-    is_up = threading.Event()
-    flapping = threading.Thread(target=flap, args=(stage, is_up))
-    if TROUBLE:
-        flapping.start()
-        is_up.wait()
+    platform = Platform(stage)
     answers = []
-    clients = [threading.Thread(target=lambda k=k: answers.append(stage.send(k % fronts, "/draft/1", b"job %d" % k)))
-               for k in range(STREAMS)]
-    for client in clients:
-        client.start()
-    for client in clients:
-        client.join()
-    if TROUBLE:
-        flapping.join()
-    joined = [answer for answer in answers if len({version_of(data) for _, data in answer.events}) > 1]
+    for round_number in range(ROUNDS):
+        began = time.monotonic()
+        front = FRONTS[round_number % len(FRONTS)]
+        clients = [threading.Thread(target=pay, args=(stage, front, b"%d.%d" % (round_number, k), answers))
+                   for k in range(PAYMENTS)]
+        for client in clients:
+            client.start()
+        for client in clients:
+            client.join()
+        time.sleep(max(0.0, began + ROUND_S - time.monotonic()))
+    platform.stop()
     whole = sum(answer.served_whole() for answer in answers)
-    stage.record("checked", streams=len(answers), whole=whole, joined=[answer.attempt for answer in joined])
-    print(f"{len(answers)} streams, {whole} whole, {len(joined)} with events of two software versions")
-    for answer in joined[:3]:
-        print(answer.attempt, [data for _, data in answer.events])
-    return len(joined) > MOST_JOINED
+    peak = {i: round(used) for i, used in platform.peak.items()}
+    stage.record("checked", ended=platform.ended, peak_mb=peak, payments=len(answers), answered_whole=whole)
+    print(f"ended over {MEMORY_MB} MB, by front machine: {platform.ended}; peak MB: {peak}; "
+          f"{whole} of {len(answers)} payments answered whole")
+    return sum(times >= TIMES_ENDED for times in platform.ended.values()) >= 2
 
 
 if __name__ == "__main__":
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,58 +1,59 @@
-"""A gateway that wakes from a freeze answers 404 to a turn whose previous turn was answered whole seconds ago.
+"""A conversation is forgotten whose last turn has just been answered, as an earlier turn of it ran out meanwhile.
 
-While front-1 stands still, a configuration adds a route that keeps turns, and a first turn is served by front-0. The next
-turn of the line comes to front-1, on a connection that is open since before the freeze. As front-1 wakes it knows the
-older configuration alone, and says that the route does not exist.
+Turn B goes on from turn A within retain_s and is answered whole, but its answer takes so long that A has run out when B is
+retained. B is to be kept, together with its chain, for retain_s from then on. The gateway is killed, and turn C, which goes
+on from B at once, is answered 404.
 """
 
-import signal
-import threading
 import time
 
-from stage import CONTACT_S, CannotRun, TROUBLE, play, service, stream_route, tenants
+from stage import CannotRun, TROUBLE, play, service, stream_route, tenants
 
-FREEZE_S = 3.2
-SENT_BEFORE_WAKING_S = 0.5
-APPLY_S = 2.0  # config_apply_ms
-RETAIN_S = 60.0
+RETAIN_S = 20.0
+PAUSE_S = 18.0  # from the end of turn A to the start of turn B
+TIMEOUT_MS = 40_000
+EVENT_S = 0.2  # under gap_aim_ms
+EVENT_TOKENS = 35
+EVENTS_OF_A, EVENTS_OF_B = 7, 120
 PROGRAM = {"X_Cuminledge_Program_Id": "3fa81c", "X_Cuminledge_Session_Id": "77d20b",
-           "X_Cuminledge_Program_Deadline_Ms": 20000, "X_Cuminledge_Token_Budget": 4480,
-           "X_Cuminledge_Token_Usage": "1840,245"}
+           "X_Cuminledge_Program_Deadline_Ms": 90000, "X_Cuminledge_Token_Budget": 9000}
+
+
+def turn(stage, front, text, events, previous=""):
+    return stage.send(front, "/talk/1", text, deadline_ms=TIMEOUT_MS, X_Cuminledge_Previous_Turn=previous,
+                      X_Cuminledge_Token_Usage=f"1840,{events * EVENT_TOKENS}", **PROGRAM)
 
 
 def story(stage):
     stage.start()
     for i in range(2):
-        stage.start_server(f"i-{i}", "engines", i)
-    services = [service("engines", True)]
-    draft = stream_route("/draft/", "engines")
-    stage.submit([draft], services, tenants())
+        stage.start_server(f"i-{i}", "engines", i, event_s=EVENT_S)
+    route = stream_route("/talk/", "engines", retain_context=True, retain_s=RETAIN_S, timeout_ms=TIMEOUT_MS)
+    stage.submit([route], [service("engines", True)], tenants())
     for i in range(len(stage.front_ips)):
         stage.wait_ready(i)
-        stage.wait_served(i, "/draft/1")
-    time.sleep(CONTACT_S)
-    kept = stage.connect(1)
-    if not stage.send(1, "/draft/1", b"earlier work", connection=kept).served_whole():
-        raise CannotRun("front-1 does not serve")
-    if TROUBLE:
-        stage.signal("front-1", signal.SIGSTOP)
-    frozen = time.monotonic()
-    stage.submit([draft, stream_route("/talk/", "engines", retain_context=True, retain_s=RETAIN_S)], services, tenants())
-    time.sleep(APPLY_S)
-    first = stage.send(0, "/talk/1", b"first input\n", **PROGRAM)
-    answered = time.monotonic()
-    if not first.served_whole():
-        raise CannotRun(f"the first turn was not served: {first.status}")
-    time.sleep(max(0.0, frozen + FREEZE_S - SENT_BEFORE_WAKING_S - time.monotonic()))
+        stage.wait_served(i, "/talk/1")
+    a = turn(stage, 0, b"The handle of the mamoty is 120 cm long.\n", EVENTS_OF_A)
+    if not a.served_whole():
+        raise CannotRun("turn A was not served")
+    time.sleep(PAUSE_S)
+    b = turn(stage, 0, b"Tell me all of the woods that fit.\n", EVENTS_OF_B, a.attempt)
+    answered_b = time.monotonic()
+    if not b.served_whole():
+        print(f"turn B: {b.status}; it was not answered whole, so it need not be kept")
+        return False
+    tries = []
     if TROUBLE:
-        threading.Timer(SENT_BEFORE_WAKING_S, lambda: stage.signal("front-1", signal.SIGCONT)).start()
-    second = stage.send(1, "/talk/1", b"second input\n", connection=kept, X_Cuminledge_Previous_Turn=first.attempt,
-                        **PROGRAM)
-    since_s = time.monotonic() - answered
-    kept.close()
-    stage.record("checked", previous=first.attempt, seconds_since_answered=round(since_s, 1), status=second.status)
-    print(f"{since_s:.1f} s after its previous turn was answered whole, the turn got {second.status}")
-    return since_s < RETAIN_S and second.status in (404, 410)
+        stage.kill("front-0")
+        tries.append(turn(stage, 1, b"And hickory?\n", EVENTS_OF_A, b.attempt))
+        stage.start_machine("front", 0)
+        stage.wait_ready(0)
+    tries.append(turn(stage, 0, b"And hickory?\n", EVENTS_OF_A, b.attempt))
+    since_s = time.monotonic() - answered_b
+    statuses = [c.status for c in tries]
+    stage.record("checked", previous=b.attempt, seconds_since_answered=round(since_s, 1), statuses=statuses)
+    print(f"turn B was answered whole; within {since_s:.1f} s the turns that go on from it got {statuses}")
+    return since_s < RETAIN_S and any(status in (404, 410) for status in statuses)
 
 
 if __name__ == "__main__":
--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -369,13 +369,14 @@
     """Runs the case: the exit status is 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     stage = None
     status = COULD_NOT_RUN
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         stage = Stage(case_file, **sizes)
         status = BROKEN if story(stage) else HELD
-    except CannotRun as problem:
+    except Exception as problem:  # pylint: disable=broad-except
         if stage:
-            stage.record("could_not_run", problem=str(problem))
-        print(f"could not run: {problem}")
+            stage.record("could_not_run", problem=f"{type(problem).__name__}: {problem}")
+        print(f"could not run: {type(problem).__name__}: {problem}")
     finally:
         if stage:
             stage.record("verdict", status=status)
