--- a/review/lib/stage.py
+++ b/review/stage.py
@@ -22,7 +22,7 @@
 
 import client
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 LIB = pathlib.Path(__file__).resolve().parent
 HOST = "ficu95.example"
 KEY = "3fexd9dnn2ctnfzs989a"
