Forwarding: what a caller does not read no longer piles up in the gateway

Cause: a gateway read from servers as fast as they sent. A caller 1 MiB behind was cut, which the reducer takes for a caller that left; a call that may not be repeated went on and kept all that came. Buffers had a bound each or none, and the process none.

Change: unread bytes are dropped once the caller has left; a request is paused while its caller is behind; all answers held and all unsent bytes have one bound each; a turn too large to be retained ends when that is known. caller_gone names its reason, and log and dump the bytes held.

In one commit, as no part keeps the process within its memory without the others.

--- a/libs/core/include/core/effect.hpp
+++ b/libs/core/include/core/effect.hpp
@@ -137,6 +137,16 @@
     bool freshConnection = false;
 };
 
+/// Stops reading the request's answer, so that the server waits. The request goes on.
+struct pause_upstream {
+    std::string request;
+};
+
+/// Reads on after pause_upstream.
+struct resume_upstream {
+    std::string request;
+};
+
 /// Finds out whether a backend server accepts connections, by making one and closing it. Answered by server_checked.
 struct check_server {
     std::string server;
@@ -256,7 +266,8 @@
 using effect = std::variant<connect_peer, disconnect_peer, send_message, reply_to_caller, begin_stream, stream_event,
     end_stream, abort_exchange, tag_connection, close_key_connections, reply_to_operator, reply_dump, start_upstream,
     cancel_upstream, persist_log, write_log, set_ready, close_listeners, stop_process, record_metric, forward_upstream,
-    begin_answer, answer_data, end_answer, refuse_caller, announce_closing, reply_to_control, check_server>;
+    begin_answer, answer_data, end_answer, refuse_caller, announce_closing, reply_to_control, check_server, pause_upstream,
+    resume_upstream>;
 
 /// Effects in the order they are carried out.
 using effects = std::vector<effect>;
--- a/libs/core/include/core/event.hpp
+++ b/libs/core/include/core/event.hpp
@@ -93,7 +93,8 @@
 /// The caller's connection closed before its answer was complete, or it read too slowly for the bounded buffer.
 struct caller_gone {
     exchange_id exchange = 0;
-    MSGPACK_DEFINE(exchange)
+    std::string reason; ///< which side closed the connection, and why
+    MSGPACK_DEFINE(exchange, reason)
 };
 
 /// A JSON-RPC method call on the operators' listener.
@@ -310,12 +311,24 @@
     MSGPACK_DEFINE(unused)
 };
 
+/// Much of the answer waits to be sent, as the caller reads more slowly than it comes. Then caller_unblocked, or
+/// caller_gone.
+struct caller_blocked {
+    exchange_id exchange = 0;
+    MSGPACK_DEFINE(exchange)
+};
+
+struct caller_unblocked {
+    exchange_id exchange = 0;
+    MSGPACK_DEFINE(exchange)
+};
+
 /// Alternatives are only ever appended: traces hold their numbers.
 using event = std::variant<process_started, tick, peer_connected, peer_disconnected, peer_message, caller_request,
     caller_gone, operator_request, dump_requested, upstream_response, upstream_data, upstream_finished, upstream_failed,
     replica_loaded, log_persisted, storage_failed, shutdown_requested, forward_request, upstream_head,
     server_announcement, server_departure, routes_submission, routes_query, retirement_request, listeners_drained,
-    server_checked>;
+    server_checked, caller_blocked, caller_unblocked>;
 
 } // namespace cuminledge::core
 
--- a/libs/core/include/core/forward/forward_call.hpp
+++ b/libs/core/include/core/forward/forward_call.hpp
@@ -36,6 +36,9 @@
     std::string output; ///< data of all forwarded events, each followed by a line feed
 };
 
+/// @return the size of what the gateway keeps of the answer.
+std::size_t heldBytes(const answer_progress& answer);
+
 /// The record of a stream's origin in the group of its account, for callers that resume the stream.
 struct origin_record {
     std::uint64_t request = 0; ///< pending controller request; 0: none
@@ -78,6 +81,8 @@
     std::uint32_t sends = 0;
     std::uint32_t possibleRuns = 0; ///< sends that may have run
     answer_progress answer;
+    std::size_t accountedBytes = 0; ///< of the answer, in forwarder_state::heldAnswerBytes
+    bool isCallerBlocked = false; ///< much of the answer waits for the caller to read; the server is not read meanwhile
 };
 
 } // namespace cuminledge::core::forward
--- a/libs/core/include/core/forward/forwarder.hpp
+++ b/libs/core/include/core/forward/forwarder.hpp
@@ -82,6 +82,7 @@
     std::set<std::pair<time_point, exchange_id>> expiries; ///< of all calls
     std::unordered_map<std::string, exchange_id> callByUpstream;
     std::unordered_map<std::uint64_t, exchange_id> callByControllerRequest; ///< by id of the request to the controllers
+    std::size_t heldAnswerBytes = 0; ///< kept of the answers of all calls
     limits::waiting_calls rateQueues;
     std::set<std::pair<time_point, exchange_id>> rateRetries; ///< calls by the time of their next request for a rate token
     recent_programs programs;
--- a/libs/core/include/core/forward/forwarder_settings.hpp
+++ b/libs/core/include/core/forward/forwarder_settings.hpp
@@ -25,6 +25,7 @@
     std::chrono::milliseconds shutdownLimit { 4'500 }; ///< after shutdownDelay: longest wait for the requests under way
     std::size_t cacheBytes = 24U << 20U; ///< capacity of the turn cache
     allowance_settings allowances; ///< of servers that limit their requests
+    std::size_t maxAnswerBytes = 24U << 20U; ///< kept of the answers of all calls together
     std::size_t maxCalls = 4'000; ///< concurrent calls; further requests are refused
 };
 
--- a/libs/core/src/forward/answers.cpp
+++ b/libs/core/src/forward/answers.cpp
@@ -4,6 +4,7 @@
 
 #include <core/forward/match_route.hpp>
 
+#include "answer_memory.hpp"
 #include "attempts.hpp"
 #include "crashes.hpp"
 #include "rate.hpp"
@@ -35,6 +36,14 @@
         c.out.emplace_back(refuse_caller { call.exchange, reason.code, call.possibleRuns > 0, reason.retryAfter, reason.message });
     }
 
+    /// Frees what only the caller needed. What still comes is read, as the server may otherwise stop half-way, and dropped.
+    void dropUnreadAnswer(context& c, forward_call& call)
+    {
+        call.answer.body = {};
+        recordHeldBytes(c, call);
+        unblockUpstream(c, call);
+    }
+
 } // namespace
 
 void settleBudget(context& c, forward_call& call)
@@ -58,6 +67,7 @@
     for (const auto request : { call.reserveRequest, call.chainRequest, call.retainRequest, call.originRequest, call.originRecord.request }) {
         c.state.callByControllerRequest.erase(request);
     }
+    releaseHeldBytes(c, call);
     c.state.expiries.erase({ call.expiresAt, call.exchange });
     c.state.calls.erase(call.exchange);
 }
@@ -85,6 +95,7 @@
         { { "status", std::to_string(call.answer.status) }, { "server", call.server },
             { "sends", std::to_string(call.sends) }, { "events", std::to_string(call.answer.eventCount) },
             { "chain_bytes", std::to_string(call.chain.size()) },
+            { "held_bytes", std::to_string(heldBytes(call.answer)) },
             { "chain_from", call.isChainRead ? "group" : "cache" } });
     if (call.hasCaller) {
         c.out.emplace_back(end_answer { call.exchange });
@@ -92,20 +103,22 @@
     removeCall(c, call);
 }
 
-void onCallerGone(context& c, exchange_id exchange)
+void onCallerGone(context& c, const caller_gone& gone)
 {
-    const auto found = c.state.calls.find(exchange);
+    const auto found = c.state.calls.find(gone.exchange);
     if (found == c.state.calls.end()) {
         return;
     }
     auto& call = found->second;
     ++c.state.counters.callersGone;
-    logCall(c, log_level::Info, "caller_gone", call, { { "server", call.server } });
+    logCall(c, log_level::Info, "caller_gone", call,
+        { { "server", call.server }, { "reason", gone.reason }, { "held_bytes", std::to_string(heldBytes(call.answer)) } });
     call.hasCaller = false;
     // A call that may not be repeated continues: cancelling it could leave it half done.
     const bool goesOn = call.step == call_step::Retain
         || (call.step == call_step::Run && !call.route.isIdempotent && !call.route.isStream);
     if (goesOn) {
+        dropUnreadAnswer(c, call);
         return;
     }
     if (!call.upstream.empty() && !call.answer.hasHead) {
--- a/libs/core/src/forward/answers.hpp
+++ b/libs/core/src/forward/answers.hpp
@@ -22,7 +22,7 @@
 void completeCall(context& c, forward_call& call);
 
 /// Handles the disconnect of the caller: cancels the call unless stopping it could leave it half done.
-void onCallerGone(context& c, exchange_id exchange);
+void onCallerGone(context& c, const caller_gone& gone);
 
 /// Removes the call from the state; the reference is dangling afterwards.
 void removeCall(context& c, forward_call& call);
--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -5,7 +5,9 @@
 #include <cassert>
 
 #include <core/forward/match_route.hpp>
+#include <core/store/shard_state.hpp>
 
+#include "answer_memory.hpp"
 #include "answers.hpp"
 #include "crashes.hpp"
 #include "server_limits.hpp"
@@ -118,6 +120,9 @@
             logResumption(c, call, effect.lastEvent);
         }
         c.out.emplace_back(std::move(effect));
+        if (call.isCallerBlocked) {
+            c.out.emplace_back(pause_upstream { call.upstream });
+        }
     }
 
     /// Ends the accounting of the upstream request; the calling function decides how the call continues.
@@ -143,11 +148,12 @@
     }
 
     /// Discards the received part of the answer, except the record of the events already forwarded.
-    void discardAnswer(forward_call& call)
+    void discardAnswer(context& c, forward_call& call)
     {
         call.answer.hasHead = false;
         call.answer.body.clear();
         call.answer.events = {};
+        recordHeldBytes(c, call);
     }
 
     /// Handles a send that the server did not run and never will: tries another server or refuses the call.
@@ -184,7 +190,7 @@
     {
         ++c.state.counters.lost;
         logLostAnswer(c, call, reason);
-        discardAnswer(call);
+        discardAnswer(c, call);
         if (!call.origin.service.empty() && hasRestarted(c, call)) {
             // The events may be of the new start, whose software version the send did not know.
             invalidateOrigin(c, call);
@@ -258,6 +264,36 @@
         c.out.emplace_back(answer_data { call.exchange, std::exchange(call.answer.body, {}) });
     }
 
+    void onBodyData(context& c, forward_call& call, const std::string& data)
+    {
+        if (!call.hasCaller) {
+            return;
+        }
+        call.answer.body += data;
+        if (call.answer.body.size() > maxBufferedBodyBytes) {
+            forwardBody(c, call);
+        }
+        recordHeldBytes(c, call);
+    }
+
+    void onStreamData(context& c, forward_call& call, const std::string& data)
+    {
+        std::vector<sse_event> events;
+        const bool fits = feed(call.answer.events, data, [&](sse_event&& event) { events.push_back(std::move(event)); });
+        const auto* fault = forwardEvents(c, call, std::move(events));
+        if (fault != nullptr || !fits) {
+            stopUpstream(c, call, true);
+            onAnswerLost(c, call, fault != nullptr ? fault : "an event over its size limit");
+            return;
+        }
+        if (isRetained(call) && call.request.body.size() + call.answer.output.size() > store::maxTurnBytes) {
+            stopUpstream(c, call, true);
+            failCall(c, call, { error_code::TooLarge, "the turn is too large to be retained" });
+            return;
+        }
+        recordHeldBytes(c, call);
+    }
+
     void recordEngineRead(context& c, const forward_call& call)
     {
         const auto* service = findService(c.state.configuration.table, call.service);
@@ -339,20 +375,11 @@
         return;
     }
     if (isEventStream(*call)) {
-        std::vector<sse_event> events;
-        const bool fits = feed(
-            call->answer.events, data.data, [&](sse_event&& event) { events.push_back(std::move(event)); });
-        const auto* fault = forwardEvents(c, *call, std::move(events));
-        if (fault != nullptr || !fits) {
-            stopUpstream(c, *call, true);
-            onAnswerLost(c, *call, fault != nullptr ? fault : "an event over its size limit");
-        }
-        return;
-    }
-    call->answer.body += data.data;
-    if (call->answer.body.size() > maxBufferedBodyBytes && call->hasCaller) {
-        forwardBody(c, *call);
+        onStreamData(c, *call, data.data);
+    } else {
+        onBodyData(c, *call, data.data);
     }
+    limitHeldBytes(c);
 }
 
 void onUpstreamFinished(context& c, const upstream_finished& finished)
@@ -371,12 +398,12 @@
         return;
     }
     clearSuspicion(c, *call);
-    if (!isEventStream(*call)) {
+    if (!isEventStream(*call) && call->hasCaller) {
         if (!call->answer.hasBegun) {
             call->answer.length = static_cast<std::int64_t>(call->answer.body.size());
         }
         forwardBody(c, *call);
-    } else if (!call->answer.hasBegun) {
+    } else if (!call->answer.hasBegun && call->hasCaller) {
         beginAnswer(c, *call, -1);
     }
     finishTurn(c, *call);
@@ -397,6 +424,36 @@
     }
 }
 
+void onCallerBlocked(context& c, exchange_id exchange)
+{
+    const auto found = c.state.calls.find(exchange);
+    if (found == c.state.calls.end() || found->second.isCallerBlocked) {
+        return;
+    }
+    auto& call = found->second;
+    call.isCallerBlocked = true;
+    count(c, "forward_callers_blocked_total");
+    if (!call.upstream.empty()) {
+        c.out.emplace_back(pause_upstream { call.upstream });
+    }
+}
+
+void onCallerUnblocked(context& c, exchange_id exchange)
+{
+    const auto found = c.state.calls.find(exchange);
+    if (found != c.state.calls.end()) {
+        unblockUpstream(c, found->second);
+    }
+}
+
+void unblockUpstream(context& c, forward_call& call)
+{
+    const bool wasBlocked = std::exchange(call.isCallerBlocked, false);
+    if (wasBlocked && !call.upstream.empty()) {
+        c.out.emplace_back(resume_upstream { call.upstream });
+    }
+}
+
 void stopUpstream(context& c, forward_call& call, bool hasFailed)
 {
     if (call.upstream.empty()) {
@@ -414,6 +471,9 @@
     if (isRunning) {
         suspectCrash(c, call);
     }
+    logCall(c, log_level::Info, "request_expired", call,
+        { { "server", call.server }, { "has_caller", call.hasCaller ? "yes" : "no" },
+            { "held_bytes", std::to_string(heldBytes(call.answer)) } });
     stopUpstream(c, call, isRunning && !call.answer.hasHead);
     failCall(c, call,
         { call.possibleRuns > 0 ? error_code::Timeout : error_code::Unavailable,
--- a/libs/core/src/forward/attempts.hpp
+++ b/libs/core/src/forward/attempts.hpp
@@ -17,6 +17,13 @@
 /// @param hasFailed whether the server is at fault.
 void stopUpstream(context& c, forward_call& call, bool hasFailed);
 
+/// Stops reading the server's answer until the caller has read what waits for it.
+void onCallerBlocked(context& c, exchange_id exchange);
+void onCallerUnblocked(context& c, exchange_id exchange);
+
+/// Reads the server's answer on, if it was paused for the caller.
+void unblockUpstream(context& c, forward_call& call);
+
 /// Ends the call because the caller's deadline or the route's timeout has passed.
 void expireCall(context& c, forward_call& call);
 
--- a/libs/core/src/forward/context.cpp
+++ b/libs/core/src/forward/context.cpp
@@ -21,6 +21,11 @@
     return "rate";
 }
 
+std::size_t heldBytes(const answer_progress& answer)
+{
+    return answer.body.size() + answer.events.partial.size() + answer.output.size();
+}
+
 void logCall(context& c, log_level level, const char* name, const forward_call& call,
     std::vector<std::pair<std::string, std::string>> fields)
 {
--- a/libs/core/src/forward/dump.cpp
+++ b/libs/core/src/forward/dump.cpp
@@ -56,6 +56,9 @@
             entry["age_ms"] = Json::Int64(age(c, call).count());
             entry["server"] = call.server;
             entry["sends"] = call.sends;
+            entry["has_caller"] = call.hasCaller;
+            entry["caller_blocked"] = call.isCallerBlocked;
+            entry["held_bytes"] = Json::UInt64(call.accountedBytes);
             calls.append(entry);
         }
         return calls;
@@ -94,6 +97,7 @@
     dump["configuration_age_ms"] = Json::Int64(
         std::chrono::duration_cast<std::chrono::milliseconds>(c.now - state.configuration.confirmedAt).count());
     dump["cached_turn_bytes"] = Json::UInt64(state.turns.bytes);
+    dump["held_answer_bytes"] = Json::UInt64(state.heldAnswerBytes);
     dump["servers"] = describeServers(c);
     dump["crashes"] = describeCrashes(c);
     dump["calls"] = describeCalls(c);
--- a/libs/core/src/forward/forwarder.cpp
+++ b/libs/core/src/forward/forwarder.cpp
@@ -87,7 +87,9 @@
         void operator()(const peer_disconnected& e) const { onPeerLost(c, e.peer, e.reason); }
         void operator()(const peer_message& e) const { std::visit(message_visitor { c, e.peer }, e.body); }
         void operator()(const forward_request& e) const { admit(c, e); }
-        void operator()(const caller_gone& e) const { onCallerGone(c, e.exchange); }
+        void operator()(const caller_gone& e) const { onCallerGone(c, e); }
+        void operator()(const caller_blocked& e) const { onCallerBlocked(c, e.exchange); }
+        void operator()(const caller_unblocked& e) const { onCallerUnblocked(c, e.exchange); }
         void operator()(const upstream_head& e) const { onUpstreamHead(c, e); }
         void operator()(const upstream_data& e) const { onUpstreamData(c, e); }
         void operator()(const upstream_finished& e) const { onUpstreamFinished(c, e); }
--- a/libs/core/src/trace.cpp
+++ b/libs/core/src/trace.cpp
@@ -117,6 +117,9 @@
     }
     void addFields(effect_hasher& hash, const check_server& e) { hash.add(e.server, e.incarnation, e.address); }
 
+    void addFields(effect_hasher& hash, const pause_upstream& e) { hash.add(e.request); }
+    void addFields(effect_hasher& hash, const resume_upstream& e) { hash.add(e.request); }
+
     std::size_t bodySize(std::string_view trace)
     {
         std::size_t size = 0;
--- a/libs/core/tests/call_path_world.hpp
+++ b/libs/core/tests/call_path_world.hpp
@@ -169,7 +169,7 @@
 
     void disconnectCaller(const std::string& gatewayName, exchange_id exchange)
     {
-        processEvent(processes.at(gatewayName), caller_gone { exchange });
+        processEvent(processes.at(gatewayName), caller_gone { exchange, "" });
     }
 
     //--------------------------------------------------------------------------------------------------------------
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -191,13 +191,13 @@
     gateway.configure();
     gateway.dispatch(gateway.makeRequest("/draft/1"));
     const auto stream = gateway.takeEffect<forward_upstream>();
-    gateway.dispatch(caller_gone { firstExchange });
+    gateway.dispatch(caller_gone { firstExchange, "" });
     CHECK(gateway.takeEffect<cancel_upstream>()->request == stream->request);
     CHECK(gateway.state.calls.empty());
 
     gateway.dispatch(gateway.makeRequest("/pay/1"));
     const auto payment = gateway.takeEffect<forward_upstream>();
-    gateway.dispatch(caller_gone { firstExchange + 1 });
+    gateway.dispatch(caller_gone { firstExchange + 1, "" });
     CHECK_FALSE(gateway.takeEffect<cancel_upstream>());
     gateway.dispatch(forward_gateway::makeHead(*payment));
     gateway.dispatch(upstream_finished { payment->request });
--- a/libs/core/tests/test_forward_turns.cpp
+++ b/libs/core/tests/test_forward_turns.cpp
@@ -67,7 +67,7 @@
     // Guards against tokens that stay reserved until the program is forgotten, so that its next turn gets a 402.
     SECTION("the caller leaves first: the reservation is released in case it was granted")
     {
-        gateway.dispatch(caller_gone { firstExchange });
+        gateway.dispatch(caller_gone { firstExchange, "" });
         CHECK(decoded<wire::settle_tokens>(gateway.takeControllerRequest()).used == 0);
         CHECK(gateway.state.calls.empty());
     }
--- a/libs/host/src/process.cpp
+++ b/libs/host/src/process.cpp
@@ -40,6 +40,8 @@
     constexpr std::uint8_t operatorListenerNumber = 3;
     constexpr std::uint8_t controlListenerNumber = 4;
     constexpr std::size_t seedBytes = 8;
+    constexpr std::size_t maxSendBytesOfCaller = 2U << 20U; // the largest event, and what came before it
+    constexpr std::size_t maxSendBytesOfCallers = 24U << 20U; // waiting for all callers together
     constexpr std::size_t maxManifestRequestBytes = 20U << 20U; // the largest JSON document, quoted once more
 
     /// A later start has a higher number, as long as the VM's wall clock does not go back past the earlier start.
@@ -56,6 +58,8 @@
         server.listener = callerListenerNumber;
         server.maxBodyBytes = settings.maxBodyBytes;
         server.maxConnections = settings.maxConnections;
+        server.maxSendBufferBytes = maxSendBytesOfCaller;
+        server.maxTotalSendBytes = maxSendBytesOfCallers;
         return server;
     }
 
@@ -114,6 +118,8 @@
     void carryOut(const core::reply_dump& e) { m_admin->reply(e.exchange, addHostState(e.body)); }
     void carryOut(core::start_upstream& e);
     void carryOut(const core::cancel_upstream& e) { m_client->cancel(e.request); }
+    void carryOut(const core::pause_upstream& e) { m_client->pause(e.request); }
+    void carryOut(const core::resume_upstream& e) { m_client->resume(e.request); }
     void carryOut(core::persist_log& e) { m_disk->write(std::move(e)); }
     void carryOut(const core::write_log& e);
     void carryOut(const core::set_ready& e) { m_admin->setReady(e.ready, e.reason); }
@@ -217,7 +223,11 @@
 {
     net::http_server_handlers handlers;
     handlers.onRequest = [this](net::http_request&& request) { onCallerRequest(std::move(request)); };
-    handlers.onGone = [this](std::uint64_t exchange, const std::string&) { happen(core::caller_gone { exchange }); };
+    handlers.onGone = [this](std::uint64_t exchange, const std::string& reason) {
+        happen(core::caller_gone { exchange, reason });
+    };
+    handlers.onBlocked = [this](std::uint64_t exchange) { happen(core::caller_blocked { exchange }); };
+    handlers.onUnblocked = [this](std::uint64_t exchange) { happen(core::caller_unblocked { exchange }); };
     handlers.onDrained = [this] { onListenerDrained(); };
     m_callers = std::make_unique<net::http_server>(m_context, makeCallerSettings(m_settings), std::move(handlers));
 }
--- a/libs/net/include/net/http_client.hpp
+++ b/libs/net/include/net/http_client.hpp
@@ -97,6 +97,13 @@
     /// Closes the request's connection. No handler is called for it any more. An unknown id is ignored.
     void cancel(const std::string& request);
 
+    /// Stops reading the request's answer, so that the server can't send on. An end of the connection, or silence, is not
+    /// noticed meanwhile. An unknown id is ignored.
+    void pause(const std::string& request);
+
+    /// Reads on after pause().
+    void resume(const std::string& request);
+
     [[nodiscard]] http_client_counts counts() const;
 
 private:
--- a/libs/net/include/net/http_server.hpp
+++ b/libs/net/include/net/http_server.hpp
@@ -23,7 +23,9 @@
     std::size_t maxHeaderBytes = 16U << 10U;
     std::size_t maxBodyBytes = 4U << 20U;
     std::size_t maxConnections = 4096; ///< further ones are closed at once
-    std::size_t maxSendBufferBytes = 1U << 20U; ///< of a stream that its reader has not taken yet
+    std::size_t blockedSendBytes = 64U << 10U; ///< waiting for a reader: beyond it, onBlocked is called
+    std::size_t maxSendBufferBytes = 1U << 20U; ///< waiting for a reader: beyond it, the connection is closed
+    std::size_t maxTotalSendBytes = 0; ///< waiting for all readers; beyond it, the slowest is closed. 0: no bound
     std::chrono::milliseconds idleTimeout { 60'000 }; ///< between requests
     std::chrono::milliseconds readTimeout { 30'000 }; ///< from a request's first byte to its last
     std::chrono::milliseconds writeTimeout { 30'000 }; ///< without the reader taking a byte
@@ -42,6 +44,11 @@
 
     /// After closeListener(): the last connection has closed, with every answer sent. May be empty.
     std::function<void()> onDrained {};
+
+    /// More than blockedSendBytes of an answer, or its share of maxTotalSendBytes, waits for the reader. Then onUnblocked,
+    /// once it has read half of that, or onGone. Never called from within a call of the owner. Both may be empty.
+    std::function<void(std::uint64_t exchange)> onBlocked {};
+    std::function<void(std::uint64_t exchange)> onUnblocked {};
 };
 
 /// Counts for state dumps.
@@ -54,7 +61,7 @@
     std::uint64_t requests = 0;
     std::uint64_t badRequests = 0; ///< broken HTTP or over a size limit
     std::uint64_t gone = 0;
-    std::uint64_t slowReaders = 0; ///< closed at maxSendBufferBytes or writeTimeout
+    std::uint64_t slowReaders = 0; ///< closed at maxSendBufferBytes, maxTotalSendBytes or writeTimeout
     std::uint64_t timeouts = 0; ///< closed at readTimeout or idleTimeout
     std::uint64_t backlogTaken = 0; ///< connections that closeListener() took from the kernel's backlog
     std::uint64_t cutUnread = 0; ///< closed by this side with bytes of a caller unread
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -107,6 +107,7 @@
 {
     m_request = std::move(request);
     m_busy = true;
+    m_paused = false;
     m_responded = false;
     m_phase = request_phase::NotSent;
     m_events.reset();
@@ -204,10 +205,32 @@
 // The answer
 //------------------------------------------------------------------------------------------------------------------
 
+void client_connection::pause()
+{
+    m_paused = true;
+    if (m_connected) {
+        m_deadline.clear();
+    }
+}
+
+void client_connection::resume()
+{
+    if (!std::exchange(m_paused, false) || !m_connected) {
+        return;
+    }
+    restartSilence();
+    read();
+}
+
 void client_connection::read()
 {
+    if (m_readPending || m_paused) {
+        return;
+    }
+    m_readPending = true;
     m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](auto problem) {
-        if (self->m_closed) {
+        self->m_readPending = false;
+        if (self->m_closed || self->m_paused) {
             return;
         }
         if (problem) {
@@ -430,6 +453,9 @@
 
 void client_connection::restartSilence()
 {
+    if (m_paused) {
+        return;
+    }
     if (m_request.silenceTimeout.count() != 0) {
         setDeadline(m_request.silenceTimeout, "silent past its timeout");
     } else {
--- a/libs/net/src/client_connection.hpp
+++ b/libs/net/src/client_connection.hpp
@@ -52,6 +52,10 @@
     /// @return whether an unused connection is neither closed nor has bytes that nobody asked for.
     [[nodiscard]] bool isOpen();
 
+    /// Stops reading until resume(). A new request begins unpaused.
+    void pause();
+    void resume();
+
     /// Closes it; the owner is told nothing any more.
     void drop();
 
@@ -92,6 +96,8 @@
     std::chrono::milliseconds m_idleTimeout { 0 }; ///< that the server states for unused connections; 0: none
     bool m_connected = false;
     bool m_busy = false;
+    bool m_paused = false;
+    bool m_readPending = false;
     int m_informationalHeads = 0; ///< of the answer under way
     bool m_responded = false;
     bool m_closed = false;
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -77,6 +77,20 @@
         forget(*connection);
     }
 
+    void pause(const std::string& request)
+    {
+        if (const auto found = m_underWay.find(request); found != m_underWay.end()) {
+            found->second->pause();
+        }
+    }
+
+    void resume(const std::string& request)
+    {
+        if (const auto found = m_underWay.find(request); found != m_underWay.end()) {
+            found->second->resume();
+        }
+    }
+
     void stop()
     {
         m_stopped = true;
@@ -223,6 +237,16 @@
     m_impl->cancel(request);
 }
 
+void http_client::pause(const std::string& request)
+{
+    m_impl->pause(request);
+}
+
+void http_client::resume(const std::string& request)
+{
+    m_impl->resume(request);
+}
+
 http_client_counts http_client::counts() const
 {
     return m_impl->counts();
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -1,5 +1,7 @@
 #include <net/http_server.hpp>
 
+#include <algorithm>
+#include <cstddef>
 #include <unordered_map>
 #include <utility>
 
@@ -16,6 +18,7 @@
 namespace {
 
     constexpr unsigned listenerShift = 56;
+    constexpr std::size_t minBlockedSendBytes = 4U << 10U;
 
 } // namespace
 
@@ -122,6 +125,39 @@
         });
     }
 
+    std::size_t blockedSendBytes() const override
+    {
+        if (m_settings.maxTotalSendBytes == 0 || m_exchanges.empty()) {
+            return m_settings.blockedSendBytes;
+        }
+        const auto share = m_settings.maxTotalSendBytes / 2 / m_exchanges.size();
+        return std::min(m_settings.blockedSendBytes, std::max(share, minBlockedSendBytes));
+    }
+
+    void setBlocked(std::uint64_t exchange, bool isBlocked) override
+    {
+        const auto& handler = isBlocked ? m_handlers.onBlocked : m_handlers.onUnblocked;
+        if (!handler) {
+            return;
+        }
+        boost::asio::post(m_context, [self = shared_from_this(), &handler, exchange] {
+            if (!self->m_stopped && self->m_exchanges.contains(exchange)) {
+                handler(exchange);
+            }
+        });
+    }
+
+    void addSendBytes(std::ptrdiff_t count) override
+    {
+        m_sendBytes += count;
+        const bool isOver = m_settings.maxTotalSendBytes != 0 && m_sendBytes > static_cast<std::ptrdiff_t>(m_settings.maxTotalSendBytes);
+        if (!isOver || std::exchange(m_closesSlowest, true)) {
+            return;
+        }
+        // The session whose bytes were added is in the middle of a call.
+        boost::asio::post(m_context, [self = shared_from_this()] { self->closeSlowest(); });
+    }
+
     void endSession(std::uint64_t connection) override
     {
         m_sessions.erase(connection);
@@ -129,6 +165,21 @@
     }
 
 private:
+    void closeSlowest()
+    {
+        m_closesSlowest = false;
+        while (!m_stopped && m_sendBytes > static_cast<std::ptrdiff_t>(m_settings.maxTotalSendBytes)) {
+            const auto slowest = std::max_element(m_sessions.begin(), m_sessions.end(),
+                [](const auto& a, const auto& b) { return a.second->sendBufferBytes() < b.second->sendBufferBytes(); });
+            if (slowest == m_sessions.end()) {
+                return;
+            }
+            ++m_counts.slowReaders;
+            const auto session = slowest->second;
+            session->close("too much waits to be read by all callers");
+        }
+    }
+
     void notifyIfDrained()
     {
         if (!m_draining || !m_sessions.empty() || !m_handlers.onDrained) {
@@ -164,6 +215,8 @@
     bool m_drainNotified = false;
     bool m_announcesClosing = false;
     bool m_stopped = false;
+    bool m_closesSlowest = false; ///< closeSlowest() is posted
+    std::ptrdiff_t m_sendBytes = 0; ///< waiting on all connections
     std::uint64_t m_lastConnection = 0;
     std::uint64_t m_lastExchange = 0;
     std::unordered_map<std::uint64_t, std::shared_ptr<http_session>> m_sessions;
--- a/libs/net/src/http_session.cpp
+++ b/libs/net/src/http_session.cpp
@@ -383,6 +383,7 @@
 void http_session::nextRequest()
 {
     m_phase = phase::Idle;
+    m_blocked = false;
     m_chunked = true;
     m_streaming = false;
     m_headRequest = false;
@@ -403,7 +404,9 @@
 void http_session::queue(std::string_view bytes)
 {
     m_queued += bytes;
+    m_owner->addSendBytes(static_cast<std::ptrdiff_t>(bytes.size()));
     write();
+    updateBlocked();
 }
 
 void http_session::queueChunk(std::string_view bytes)
@@ -434,15 +437,34 @@
     const auto bytes = boost::asio::buffer(m_sending.data() + m_sent, m_sending.size() - m_sent);
     m_socket.async_write_some(bytes, [self = shared_from_this()](auto problem, std::size_t written) {
         self->m_writePending = false;
+        if (self->m_closed) {
+            return;
+        }
         if (problem) {
             self->closeByCaller();
             return;
         }
         self->m_sent += written;
+        self->m_owner->addSendBytes(-static_cast<std::ptrdiff_t>(written));
         self->write();
+        self->updateBlocked();
     });
 }
 
+/// Tells the owner when the reader falls behind, and when it has read half of what made it count as behind.
+void http_session::updateBlocked()
+{
+    if (m_closed || m_exchange == 0) {
+        return;
+    }
+    const auto limit = m_owner->blockedSendBytes();
+    const bool isBlocked = sendBufferBytes() > (m_blocked ? limit / 2 : limit);
+    if (isBlocked != m_blocked) {
+        m_blocked = isBlocked;
+        m_owner->setBlocked(m_exchange, isBlocked);
+    }
+}
+
 void http_session::onAllWritten()
 {
     if (m_phase == phase::Reading) {
@@ -528,7 +550,10 @@
     boost::system::error_code ignored;
     m_socket.close(ignored);
     m_deadline.clear();
+    m_owner->addSendBytes(-static_cast<std::ptrdiff_t>(sendBufferBytes()));
     m_queued.clear();
+    m_sending.clear();
+    m_sent = 0;
     m_owner->endSession(m_connection);
     if (m_exchange != 0) {
         m_owner->loseExchange(std::exchange(m_exchange, 0), reason);
--- a/libs/net/src/http_session.hpp
+++ b/libs/net/src/http_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -32,6 +33,13 @@
     /// The answer is given in full.
     virtual void endExchange(std::uint64_t exchange) = 0;
 
+    /// @return how many bytes of the answer may wait for the reader before the exchange counts as blocked.
+    [[nodiscard]] virtual std::size_t blockedSendBytes() const = 0;
+    virtual void setBlocked(std::uint64_t exchange, bool isBlocked) = 0;
+
+    /// Adds to what waits on all connections.
+    virtual void addSendBytes(std::ptrdiff_t count) = 0;
+
     /// The answer can't be given any more.
     virtual void loseExchange(std::uint64_t exchange, const std::string& reason) = 0;
     virtual void endSession(std::uint64_t connection) = 0;
@@ -103,6 +111,7 @@
     void queueChunk(std::string_view bytes);
     void write();
     void onAllWritten();
+    void updateBlocked();
     void beginLinger();
 
     void closeIdle();
@@ -133,6 +142,7 @@
     bool m_chunked = true;
     std::int64_t m_bodyLeft = -1; ///< bytes of the answer's body still to come; -1: its length is not stated
     bool m_headRequest = false;
+    bool m_blocked = false; ///< the owner knows that the reader is behind
 };
 
 } // namespace cuminledge::net
