Sidecar: the answers of finished attempts have a bound together

Hundreds of large answers took it over its memory.

Change: 32 MiB (`finished_bytes`), the newest longest; a service's answer is kept once. An attempt whose outcome is dropped early counts as ended, so a late start of it does not run again. Not seen in a deployment.

--- a/libs/core/include/core/sidecar/sidecar.hpp
+++ b/libs/core/include/core/sidecar/sidecar.hpp
@@ -72,6 +72,7 @@
     backend_health health;
     std::map<std::string, attempt_entry> attempts;
     std::deque<std::string> finished; ///< oldest first
+    std::size_t finishedBytes = 0; ///< of their answers
     std::unordered_map<std::string, closed_kind> closed; ///< never forgotten while the process lives
     scheduling::attempt_queue queue;
     std::deque<std::string> suspects; ///< wait to run alone
--- a/libs/core/include/core/sidecar/sidecar_settings.hpp
+++ b/libs/core/include/core/sidecar/sidecar_settings.hpp
@@ -27,6 +27,7 @@
     std::chrono::milliseconds silenceTimeout { 10'000 }; ///< of the backend server, before it is probed
     std::chrono::milliseconds probeTimeout { 1'000 };
     std::chrono::milliseconds finishedRetention { 120'000 }; ///< how long a finished attempt answers late queries
+    std::size_t finishedBytes = 32U << 20U; ///< bound of the answers of finished attempts together
     std::size_t historyBytes = 8U << 20U; ///< bound of the texts of histories kept here
     std::chrono::milliseconds shutdownLimit { 60'000 }; ///< what is still under way then is cut off
 };
--- a/libs/core/src/sidecar/attempt_table.cpp
+++ b/libs/core/src/sidecar/attempt_table.cpp
@@ -117,17 +117,9 @@
         }
     }
 
-    void close(context& c, attempt_entry& entry)
+    std::size_t answerBytes(const attempt_entry& entry)
     {
-        removeFromQueue(c, entry);
-        if (entry.historyRequest != 0) {
-            controller_client::discardRequest(c.state.controllers, entry.historyRequest);
-            c.state.attemptOfRead.erase(entry.historyRequest);
-            entry.historyRequest = 0;
-        }
-        entry.phase = attempt_phase::Finished;
-        entry.finishedAt = c.now;
-        c.state.finished.push_back(entry.start.attempt);
+        return entry.text.size() + entry.done.body.size();
     }
 
     void forgetOldest(context& c)
@@ -139,11 +131,31 @@
             return;
         }
         const bool notRun = found->second.failed && found->second.failed->outcome == wire::attempt_outcome::NotRun;
+        c.state.finishedBytes -= answerBytes(found->second);
         // A late or doubled start of an attempt that has ended must never run it again.
         c.state.closed[attempt] = notRun ? closed_kind::NotRun : closed_kind::Ended;
         c.state.attempts.erase(found);
     }
 
+    void close(context& c, attempt_entry& entry)
+    {
+        removeFromQueue(c, entry);
+        if (entry.historyRequest != 0) {
+            controller_client::discardRequest(c.state.controllers, entry.historyRequest);
+            c.state.attemptOfRead.erase(entry.historyRequest);
+            entry.historyRequest = 0;
+        }
+        entry.phase = attempt_phase::Finished;
+        entry.finishedAt = c.now;
+        c.state.finished.push_back(entry.start.attempt);
+        // The outcome is sent from `done`; the copy that was read is not needed any more.
+        entry.responseBody = {};
+        c.state.finishedBytes += answerBytes(entry);
+        while (c.state.finishedBytes > c.state.settings.finishedBytes && c.state.finished.size() > 1) {
+            forgetOldest(c);
+        }
+    }
+
     void cancel(context& c, attempt_entry& entry, const std::string& why)
     {
         switch (entry.phase) {
--- a/libs/core/src/sidecar/sidecar_settings.cpp
+++ b/libs/core/src/sidecar/sidecar_settings.cpp
@@ -42,6 +42,8 @@
     span("probe_timeout_ms", milliseconds(10), settings.probeTimeout);
     span("finished_retention_ms", milliseconds(1'000), settings.finishedRetention);
     span("shutdown_limit_ms", milliseconds(1'000), settings.shutdownLimit);
+    settings.finishedBytes = static_cast<std::size_t>(
+        reader.integer("finished_bytes", 1 << 20, 1 << 30, static_cast<std::int64_t>(settings.finishedBytes)));
     settings.historyBytes = static_cast<std::size_t>(
         reader.integer("history_bytes", 0, 1 << 30, static_cast<std::int64_t>(settings.historyBytes)));
     return settings;
--- a/libs/core/src/sidecar/upstream.cpp
+++ b/libs/core/src/sidecar/upstream.cpp
@@ -204,7 +204,7 @@
         return;
     }
     entry.done.status = entry.status;
-    entry.done.body = entry.responseBody;
+    entry.done.body = std::move(entry.responseBody);
     finishDone(c, entry);
     startNext(c);
 }
--- a/libs/core/tests/test_sidecar.cpp
+++ b/libs/core/tests/test_sidecar.cpp
@@ -367,3 +367,22 @@
     CHECK(sidecar::heldTurns(store, "a\np3") == 1);
     CHECK(store.bytes == 88);
 }
+
+// Guards against a sidecar over its memory by finished answers, which it keeps for late queries.
+TEST_CASE("The answers of finished attempts are kept within a bound, the newest longest", "[sidecar]")
+{
+    sidecar_driver driver(wire::backend_kind::Engine);
+    driver.state.settings.finishedBytes = 100'000;
+    for (int i = 0; i < 30; ++i) {
+        const auto attempt = "a" + std::to_string(i);
+        driver.receive(driver.start(attempt));
+        driver.generate(attempt, std::string(10'000, 'x'));
+        CHECK(driver.state.finishedBytes <= driver.state.settings.finishedBytes);
+    }
+    CHECK(driver.told<wire::attempt_done>("a29") != nullptr);
+    CHECK(driver.state.attempts.contains("a29"));
+    CHECK_FALSE(driver.state.attempts.contains("a0"));
+    // A late start of a forgotten attempt does not run it again.
+    driver.receive(driver.start("a0"));
+    CHECK(driver.timesGiven("a0") == 1);
+}
