Turns: a chain is held while a turn that continues it is under way

Cause: the group counts a turn's retention from its end and did not know of a later turn under way. The earlier one was dropped, the later one stored behind the gap and confirmed, and read_chain then finds nothing. The gateway's cache hid it.

The answer ended whole, so retain_turn was confirmed, which rules out a lost command. The store alone shows it in a test.

Change: hold_chain keeps a chain for the time that a turn may still take; it is replicated and ends by itself. Gateways send it only where the chain may run out first, and wait for it. A hold or a retain_turn behind a missing turn is refused.

The tests fail with the hold, and with the check of retain_turn, taken out.

--- a/libs/core/include/core/forward/forward_call.hpp
+++ b/libs/core/include/core/forward/forward_call.hpp
@@ -64,7 +64,10 @@
     bool hasReservation = false; ///< holds a token reservation that must be settled
     std::uint64_t reserveRequest = 0; ///< pending controller request; 0: none
     std::uint64_t chainRequest = 0;
+    time_point chainReadAt {}; ///< when chainRequest was sent
+    std::uint64_t holdRequest = 0;
     std::uint64_t retainRequest = 0;
+    time_point retainSentAt {};
     std::string chain; ///< text of the earlier turns, oldest first
     bool isChainRead = false; ///< the chain was read from its group because the turn cache did not hold it
 
--- a/libs/core/include/core/forward/forwarder.hpp
+++ b/libs/core/include/core/forward/forwarder.hpp
@@ -63,6 +63,7 @@
     std::uint64_t resumed = 0; ///< streams resumed on another server
     std::uint64_t chainsCached = 0;
     std::uint64_t chainsRead = 0;
+    std::uint64_t chainsHeld = 0; ///< kept longer in their group for a turn under way
     std::uint64_t expired = 0;
     std::uint64_t strayMessages = 0;
 };
--- a/libs/core/include/core/store/shard_state.hpp
+++ b/libs/core/include/core/store/shard_state.hpp
@@ -44,6 +44,8 @@
 constexpr std::chrono::milliseconds clockInterval { 5'000 };
 /// Maximum number of retained turns that are followed in one chain.
 constexpr std::size_t maxChainTurns = 1'000;
+/// Longest time by which one hold_chain command keeps a chain.
+constexpr std::chrono::milliseconds maxChainHold { 3'600'000 };
 /// Maximum number of settled attempts kept per budget.
 constexpr std::size_t maxSettledAttempts = 16;
 /// Maximum number of budgets, of retained turns, and of recorded streams in one group; new ones beyond it are refused.
--- a/libs/core/src/forward/answers.cpp
+++ b/libs/core/src/forward/answers.cpp
@@ -64,7 +64,7 @@
     removeFromRateQueue(c, call);
     stopUpstream(c, call, false);
     settleBudget(c, call);
-    for (const auto request : { call.reserveRequest, call.chainRequest, call.retainRequest, call.originRequest, call.originRecord.request }) {
+    for (const auto request : { call.reserveRequest, call.chainRequest, call.holdRequest, call.retainRequest, call.originRequest, call.originRecord.request }) {
         c.state.callByControllerRequest.erase(request);
     }
     releaseHeldBytes(c, call);
--- a/libs/core/src/forward/dump.cpp
+++ b/libs/core/src/forward/dump.cpp
@@ -80,6 +80,7 @@
         value["resumed"] = Json::UInt64(counters.resumed);
         value["chains_cached"] = Json::UInt64(counters.chainsCached);
         value["chains_read"] = Json::UInt64(counters.chainsRead);
+        value["chains_held"] = Json::UInt64(counters.chainsHeld);
         value["expired"] = Json::UInt64(counters.expired);
         value["stray_messages"] = Json::UInt64(counters.strayMessages);
         return value;
--- a/libs/core/src/forward/turn_cache.cpp
+++ b/libs/core/src/forward/turn_cache.cpp
@@ -53,6 +53,20 @@
     evictOverLimit(cache);
 }
 
+time_point keptUntil(const turn_cache& cache, const std::string& account, const std::string& turn)
+{
+    const auto found = cache.turns.find(keyOf(account, turn));
+    return found == cache.turns.end() ? time_point {} : found->second.keptUntil;
+}
+
+void extendKept(turn_cache& cache, const std::string& account, const std::string& turn, time_point until)
+{
+    const auto found = cache.turns.find(keyOf(account, turn));
+    if (found != cache.turns.end()) {
+        found->second.keptUntil = std::max(found->second.keptUntil, until);
+    }
+}
+
 chain_text assembleChain(turn_cache& cache, const std::string& account, const std::string& turn)
 {
     chain_text chain;
--- a/libs/core/src/forward/turns.cpp
+++ b/libs/core/src/forward/turns.cpp
@@ -15,6 +15,8 @@
 
     /// Minimum retention of programs' budgets, also for a route without a configured retention.
     constexpr std::chrono::milliseconds minRetention { 60'000 };
+    /// Longest time for which a cached turn is known to be retained. Longer ones are looked at again.
+    constexpr std::chrono::milliseconds maxKnownRetention { 3'600'000 };
     constexpr std::uint32_t firstSuccess = 200;
     constexpr std::uint32_t lastSuccess = 299;
 
@@ -24,6 +26,12 @@
         return call.route.isStream && !place.program.empty() && place.budgetTokens > 0 && !call.account.empty();
     }
 
+    std::chrono::milliseconds timeLeft(const context& c, const forward_call& call)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(call.expiresAt - c.now);
+    }
+
+    /// The budget is remembered until the turn has ended and for its retention from then on.
     void reserve(context& c, forward_call& call)
     {
         const auto& request = call.request;
@@ -38,12 +46,29 @@
     {
         ++c.state.counters.chainsRead;
         call.isChainRead = true;
+        call.chainReadAt = c.now;
         wire::read_chain query { call.account, missing, {} };
         call.chainRequest = controller_client::send(c.state.controllers, accountGroup(c, call), wire::query(query),
             "read_chain", c.now, controllerTimeout(c, call), c.out);
         c.state.callByControllerRequest[call.chainRequest] = call.exchange;
     }
 
+    /// Has the chain retained until the turn can be stored behind it, unless it is long enough as it is. The turn is sent to
+    /// a server once that is confirmed: without its chain it could not be retained at its end.
+    void holdChain(context& c, forward_call& call)
+    {
+        const auto& previous = call.request.programContext.previousTurn;
+        if (keptUntil(c.state.turns, call.account, previous) >= call.expiresAt) {
+            return;
+        }
+        ++c.state.counters.chainsHeld;
+        const wire::hold_chain command { call.account, previous, timeLeft(c, call) };
+        call.holdRequest = controller_client::send(c.state.controllers, accountGroup(c, call), wire::command(command),
+            "hold_chain", c.now, controllerTimeout(c, call), c.out);
+        c.state.callByControllerRequest[call.holdRequest] = call.exchange;
+        logCall(c, log_level::Info, "chain_held", call, { { "previous", previous } });
+    }
+
     void loadChain(context& c, forward_call& call)
     {
         const auto& previous = call.request.programContext.previousTurn;
@@ -57,11 +82,14 @@
         }
         ++c.state.counters.chainsCached;
         call.chain = std::move(chain.text);
+        holdChain(c, call);
     }
 
     void startIfPrepared(context& c, forward_call& call)
     {
-        if (call.reserveRequest == 0 && call.chainRequest == 0 && call.originRequest == 0) {
+        const bool isPrepared
+            = call.reserveRequest == 0 && call.chainRequest == 0 && call.holdRequest == 0 && call.originRequest == 0;
+        if (isPrepared) {
             startAttempt(c, call);
         }
     }
@@ -114,6 +142,7 @@
         }
         for (const auto& link : chain->links) {
             put(c.state.turns, call.account, link);
+            extendKept(c.state.turns, call.account, link.turn, call.chainReadAt + std::min(chain->keptFor, maxKnownRetention));
         }
         auto text = assembleChain(c.state.turns, call.account, call.request.programContext.previousTurn);
         if (!text.isComplete) {
@@ -121,9 +150,25 @@
             return;
         }
         call.chain = std::move(text.text);
+        holdChain(c, call);
         startIfPrepared(c, call);
     }
 
+    void onChainHeld(context& c, forward_call& call, const wire::command_result& outcome)
+    {
+        call.holdRequest = 0;
+        const auto& previous = call.request.programContext.previousTurn;
+        const auto* refused = std::get_if<wire::refused>(&outcome);
+        if (refused == nullptr) {
+            extendKept(c.state.turns, call.account, previous, call.expiresAt);
+            startIfPrepared(c, call);
+        } else if (static_cast<error_code>(refused->code) == error_code::NotFound) {
+            failCall(c, call, { error_code::NotFound, "no turn " + previous + " is retained" });
+        } else {
+            failOnRefusal(c, call, *refused);
+        }
+    }
+
     void onOriginRead(context& c, forward_call& call, const wire::command_result& outcome)
     {
         if (const auto problem = applyOrigin(c, call, outcome)) {
@@ -165,6 +210,7 @@
         const auto& request = call.request;
         put(c.state.turns, call.account,
             { request.attempt, request.programContext.previousTurn, request.body + call.answer.output });
+        extendKept(c.state.turns, call.account, request.attempt, call.retainSentAt + std::min(call.route.retention, maxKnownRetention));
         completeCall(c, call);
     }
 
@@ -216,6 +262,8 @@
         onReserved(c, call, *answer.outcome);
     } else if (answer.request == call.chainRequest) {
         onChainRead(c, call, *answer.outcome);
+    } else if (answer.request == call.holdRequest) {
+        onChainHeld(c, call, *answer.outcome);
     } else if (answer.request == call.originRequest) {
         onOriginRead(c, call, *answer.outcome);
     } else if (answer.request == call.retainRequest) {
@@ -230,6 +278,7 @@
         return;
     }
     call.step = call_step::Retain;
+    call.retainSentAt = c.now;
     const auto& request = call.request;
     wire::retain_turn command;
     command.account = call.account;
--- a/libs/core/src/store/group.cpp
+++ b/libs/core/src/store/group.cpp
@@ -14,7 +14,7 @@
     constexpr bool isCallCommand = std::is_same_v<Command, wire::record_call> || std::is_same_v<Command, wire::dispatch_call> || std::is_same_v<Command, wire::settle_call>;
 
     template <typename Command>
-    constexpr bool isAccountCommand = std::is_same_v<Command, wire::reserve_rate> || std::is_same_v<Command, wire::reserve_tokens> || std::is_same_v<Command, wire::settle_tokens> || std::is_same_v<Command, wire::retain_turn> || std::is_same_v<Command, wire::record_stream>;
+    constexpr bool isAccountCommand = std::is_same_v<Command, wire::reserve_rate> || std::is_same_v<Command, wire::reserve_tokens> || std::is_same_v<Command, wire::settle_tokens> || std::is_same_v<Command, wire::retain_turn> || std::is_same_v<Command, wire::hold_chain> || std::is_same_v<Command, wire::record_stream>;
 
 } // namespace
 
--- a/libs/core/src/store/turn_commands.cpp
+++ b/libs/core/src/store/turn_commands.cpp
@@ -1,6 +1,8 @@
 #include <store/turn_commands.hpp>
 
 #include <algorithm>
+#include <optional>
+#include <vector>
 
 #include <core/store/control_state.hpp>
 #include <store/expiry.hpp>
@@ -51,17 +53,34 @@
         }
     }
 
-    /// Extends the expiry of a turn and of all turns before it, since a turn is only usable with its whole chain.
-    void extendChainExpiry(shard_state& state, const std::string& account, std::string turn, std::chrono::milliseconds expires)
+    /// @return the turn and those before it, newest first; nothing if one is missing, since a turn is only usable with its
+    ///         whole chain.
+    std::optional<std::vector<retained_turn*>> findChain(shard_state& state, const std::string& account, std::string turn)
     {
-        for (std::size_t followed = 0; followed < maxChainTurns && !turn.empty(); ++followed) {
+        std::vector<retained_turn*> chain;
+        while (!turn.empty() && chain.size() < maxChainTurns) {
             const auto found = state.turns.find({ account, turn });
             if (found == state.turns.end()) {
-                return;
+                return std::nullopt;
             }
-            found->second.expires = std::max(found->second.expires, expires);
+            chain.push_back(&found->second);
             turn = found->second.previous;
         }
+        return chain;
+    }
+
+    void extendExpiry(const std::vector<retained_turn*>& chain, std::chrono::milliseconds expires)
+    {
+        for (auto* turn : chain) {
+            turn->expires = std::max(turn->expires, expires);
+        }
+    }
+
+    /// @return how long the turn is retained at least, without the allowance that expiryOf() adds for the clock's lag.
+    std::chrono::milliseconds keptFor(const shard_state& state, const retained_turn& turn)
+    {
+        const auto left = turn.expires - state.clock - 2 * clockInterval;
+        return std::max(left, std::chrono::milliseconds(0));
     }
 
 } // namespace
@@ -117,13 +136,32 @@
     if (state.turns.size() >= maxRetained && !state.turns.contains(key)) {
         return refuse(error_code::Overloaded, "too many turns are retained", step);
     }
+    const auto chain = findChain(state, command.account, command.previous);
+    if (!chain) {
+        return refuse(error_code::NotFound, "a turn that it continues is no longer retained", step);
+    }
     auto& turn = state.turns[key];
     turn = { command.account, command.turn, command.previous, command.text, expiryOf(state, command.retention) };
-    extendChainExpiry(state, command.account, command.previous, turn.expires);
+    extendExpiry(*chain, turn.expires);
     settleIfKnown(state, { command.account, command.program }, command.turn, command.used);
     return wire::acknowledged {};
 }
 
+wire::command_result applyCommand(shard_state& state, const wire::hold_chain& command)
+{
+    const std::string step = "hold_chain";
+    if (!isName(command.account) || !isName(command.turn)) {
+        return refuse(error_code::InvalidArgument, "a field is empty or too long", step);
+    }
+    const auto chain = findChain(state, command.account, command.turn);
+    if (!chain) {
+        return refuse(error_code::NotFound, "no turn " + command.turn + " is retained", step);
+    }
+    const auto duration = std::clamp(command.duration, std::chrono::milliseconds(0), maxChainHold);
+    extendExpiry(*chain, expiryOf(state, duration));
+    return wire::acknowledged {};
+}
+
 wire::command_result applyCommand(shard_state& state, const wire::advance_time& command)
 {
     state.clock += std::max(command.elapsed, std::chrono::milliseconds(0));
@@ -145,6 +183,9 @@
         if (found == state.turns.end()) {
             return wire::turn_chain {};
         }
+        if (chain.links.empty()) {
+            chain.keptFor = keptFor(state, found->second);
+        }
         chain.links.push_back({ turn, found->second.previous, found->second.text });
         turn = found->second.previous;
     }
--- a/libs/core/src/store/turn_commands.hpp
+++ b/libs/core/src/store/turn_commands.hpp
@@ -9,6 +9,7 @@
 wire::command_result applyCommand(shard_state& state, const wire::reserve_tokens& command);
 wire::command_result applyCommand(shard_state& state, const wire::settle_tokens& command);
 wire::command_result applyCommand(shard_state& state, const wire::retain_turn& command);
+wire::command_result applyCommand(shard_state& state, const wire::hold_chain& command);
 wire::command_result applyCommand(shard_state& state, const wire::advance_time& command);
 
 wire::command_result answerQuery(const shard_state& state, const wire::read_chain& query);
--- a/libs/core/tests/test_forward_turns.cpp
+++ b/libs/core/tests/test_forward_turns.cpp
@@ -120,7 +120,7 @@
     CHECK(request->isQuery);
     SECTION("the group has the chain")
     {
-        gateway.answer(*request, wire::turn_chain { { { "t2", "t1", "second;" }, { "t1", "", "first;" } } });
+        gateway.answer(*request, wire::turn_chain { { { "t2", "t1", "second;" }, { "t1", "", "first;" } }, std::chrono::minutes(1) });
         CHECK(gateway.takeEffect<forward_upstream>()->body == "first;second;" + turn.body);
     }
     SECTION("the leader knows no such turn")
@@ -135,6 +135,86 @@
     }
 }
 
+// Guards against a conversation that is forgotten as an earlier turn runs out while its next one is under way.
+TEST_CASE("A turn has the chain that it continues held, if the chain may run out before its end", "[forward]")
+{
+    forward_gateway gateway;
+    gateway.configure();
+    auto first = makeTurn(gateway, "/chat/1");
+    first.programContext.budgetTokens = 0;
+    gateway.dispatch(first);
+    gateway.streamAnswer(*gateway.takeEffect<forward_upstream>(), { "id: 1\ndata: hello\n\n" });
+    gateway.answer(*gateway.takeControllerRequest(), wire::acknowledged {});
+    const auto continueAfter = [&](std::chrono::milliseconds pause) {
+        gateway.advance(pause);
+        gateway.out.clear();
+        auto next = makeTurn(gateway, "/chat/1", first.attempt);
+        next.programContext.budgetTokens = 0;
+        gateway.dispatch(next);
+    };
+    SECTION("it is kept past the deadline: the turn is sent at once")
+    {
+        continueAfter(std::chrono::milliseconds(56'999));
+        CHECK(gateway.takeEffect<forward_upstream>());
+        CHECK_FALSE(gateway.takeControllerRequest());
+    }
+    SECTION("it may run out: the turn is sent once the hold is confirmed")
+    {
+        continueAfter(std::chrono::milliseconds(57'001));
+        CHECK_FALSE(gateway.takeEffect<forward_upstream>());
+        const auto request = gateway.takeControllerRequest();
+        const auto command = decoded<wire::hold_chain>(request);
+        CHECK(command.turn == first.attempt);
+        CHECK(command.duration == std::chrono::milliseconds(3'000));
+        SECTION("confirmed; it then holds for other turns too")
+        {
+            gateway.answer(*request, wire::acknowledged {});
+            CHECK(gateway.takeEffect<forward_upstream>());
+            continueAfter(std::chrono::milliseconds(0));
+            CHECK(gateway.takeEffect<forward_upstream>());
+        }
+        SECTION("the group does not have it any more")
+        {
+            gateway.answer(*request, wire::refused { static_cast<std::uint32_t>(error_code::NotFound), "", "", "" });
+            CHECK_FALSE(gateway.takeEffect<forward_upstream>());
+            CHECK(gateway.takeEffect<refuse_caller>()->code == error_code::NotFound);
+        }
+        SECTION("not confirmed: reported as unavailable, not as missing")
+        {
+            gateway.advance(gateway.state.settings.controllerTimeout);
+            CHECK_FALSE(gateway.takeEffect<forward_upstream>());
+            CHECK(gateway.takeEffect<refuse_caller>()->code == error_code::Unavailable);
+        }
+    }
+}
+
+TEST_CASE("A chain that was read from its group is held, if the group keeps it for less than the turn may take", "[forward]")
+{
+    forward_gateway gateway;
+    gateway.configure();
+    auto turn = makeTurn(gateway, "/chat/1", "t2");
+    turn.programContext.budgetTokens = 0;
+    gateway.dispatch(turn);
+    const auto request = gateway.takeControllerRequest();
+    const auto answerKept = [&](std::chrono::milliseconds keptFor) {
+        gateway.answer(*request, wire::turn_chain { { { "t2", "t1", "second;" }, { "t1", "", "first;" } }, keptFor });
+    };
+    SECTION("long enough")
+    {
+        answerKept(std::chrono::milliseconds(3'000));
+        CHECK(gateway.takeEffect<forward_upstream>());
+    }
+    SECTION("too short, or not said by a controller of the version before")
+    {
+        answerKept(GENERATE(std::chrono::milliseconds(2'999), std::chrono::milliseconds(0)));
+        CHECK_FALSE(gateway.takeEffect<forward_upstream>());
+        const auto hold = gateway.takeControllerRequest();
+        CHECK(decoded<wire::hold_chain>(hold).turn == "t2");
+        gateway.answer(*hold, wire::acknowledged {});
+        CHECK(gateway.takeEffect<forward_upstream>()->body == "first;second;" + turn.body);
+    }
+}
+
 TEST_CASE("Cached turns are kept apart by account", "[forward]")
 {
     turn_cache cache;
--- a/libs/core/tests/test_store_turns.cpp
+++ b/libs/core/tests/test_store_turns.cpp
@@ -88,6 +88,78 @@
     CHECK(state.turns.empty());
 }
 
+// Guards against a conversation that is forgotten as an earlier turn runs out while its next one is under way.
+TEST_CASE("A chain that a turn under way continues is held, and the hold ends by itself", "[store]")
+{
+    shard_state state;
+    retain(state, "t1", "", milliseconds(10'000));
+    retain(state, "t2", "t1", milliseconds(10'000));
+    applyCommand(state, wire::advance_time { 1, milliseconds(9'000) });
+    const auto held = applyCommand(state, wire::hold_chain { "alice", "t2", milliseconds(40'000) });
+    REQUIRE(std::holds_alternative<wire::acknowledged>(held));
+    applyCommand(state, wire::advance_time { 1, milliseconds(40'000) });
+    CHECK(chainOf(state, "alice", "t2") == std::vector<std::string> { "t2", "t1" });
+    SECTION("the turn is retained: its chain is kept with it")
+    {
+        retain(state, "t3", "t2", milliseconds(10'000));
+        applyCommand(state, wire::advance_time { 1, milliseconds(10'000) });
+        CHECK(chainOf(state, "alice", "t3") == std::vector<std::string> { "t3", "t2", "t1" });
+    }
+    SECTION("the gateway is gone")
+    {
+        applyCommand(state, wire::advance_time { 1, 2 * clockInterval });
+        CHECK(state.turns.empty());
+    }
+}
+
+// Guards against a hold of a turn that has run out already, which would be confirmed and mean nothing.
+TEST_CASE("A chain of which a turn is missing is not held, nor for another account or without end", "[store]")
+{
+    shard_state state;
+    const auto isRefused = [&](const std::string& account, const std::string& turn) {
+        return std::holds_alternative<wire::refused>(
+            applyCommand(state, wire::hold_chain { account, turn, milliseconds(10'000) }));
+    };
+    retain(state, "t1", "", milliseconds(10'000));
+    retain(state, "t2", "t1", milliseconds(10'000));
+    CHECK(isRefused("alice", "t3"));
+    CHECK(isRefused("alice", ""));
+    CHECK(isRefused("bob", "t2"));
+    state.turns.erase({ "alice", "t1" });
+    CHECK(isRefused("alice", "t2"));
+    state.turns.erase({ "alice", "t2" });
+    retain(state, "t4", "", milliseconds(10'000));
+    applyCommand(state, wire::hold_chain { "alice", "t4", milliseconds::max() });
+    applyCommand(state, wire::advance_time { 1, maxChainHold + 2 * clockInterval });
+    CHECK(state.turns.empty());
+}
+
+// Guards against a turn that is confirmed as retained and can't be used, as the chain before it is gone.
+TEST_CASE("A turn is not retained behind a turn that is missing", "[store]")
+{
+    shard_state state;
+    const auto outcome
+        = applyCommand(state, wire::retain_turn { "alice", "t2", "t1", "second;", milliseconds(10'000), "", 0 });
+    REQUIRE(std::holds_alternative<wire::refused>(outcome));
+    CHECK(static_cast<error_code>(std::get<wire::refused>(outcome).code) == error_code::NotFound);
+    CHECK(state.turns.empty());
+}
+
+TEST_CASE("A reader is told how long a chain is kept at least", "[store]")
+{
+    shard_state state;
+    retain(state, "t1", "", milliseconds(60'000));
+    retain(state, "t2", "t1", milliseconds(10'000));
+    applyCommand(state, wire::advance_time { 1, milliseconds(4'000) });
+    const auto keptFor = [&](const std::string& turn) {
+        return std::get<wire::turn_chain>(query(state, wire::read_chain { "alice", turn, {} })).keptFor;
+    };
+    CHECK(keptFor("t2") == milliseconds(6'000));
+    CHECK(keptFor("t1") == milliseconds(56'000));
+    applyCommand(state, wire::advance_time { 1, milliseconds(8'000) });
+    CHECK(keptFor("t2") == milliseconds(0));
+}
+
 TEST_CASE("Budgets, turns and the clock are restored from a snapshot", "[store]")
 {
     shard_state state;
--- a/libs/wire/include/wire/commands.hpp
+++ b/libs/wire/include/wire/commands.hpp
@@ -266,11 +266,20 @@
     MSGPACK_DEFINE(account, attempt, service, softwareVersion, sequence, retention)
 };
 
+/// Keeps a turn and the chain before it for a while longer, as a turn under way continues it. The time bounds the hold, so
+/// that it ends without a release when the gateway that asked for it is gone.
+struct hold_chain {
+    std::string account;
+    std::string turn; ///< the newest of the chain
+    std::chrono::milliseconds duration { 0 };
+    MSGPACK_DEFINE(account, turn, duration)
+};
+
 /// Alternatives are only ever appended: log records hold their numbers.
 using command = std::variant<open_program, begin_turn, commit_turn, abandon_turn, end_program, record_call,
     dispatch_call, settle_call, reserve_rate, accept_manifest, issue_key, withdraw_key, drain_backend,
     register_orderer, report_crash, clear_fingerprint, accept_routes, reserve_tokens, settle_tokens, retain_turn,
-    advance_time, note_server, record_stream>;
+    advance_time, note_server, record_stream, hold_chain>;
 
 //------------------------------------------------------------------------------------------------------------------
 // Reads, served by a leader that holds its lease
@@ -429,7 +438,8 @@
 
 struct turn_chain {
     std::vector<chain_link> links; ///< newest first; empty where the turn is unknown
-    MSGPACK_DEFINE(links)
+    std::chrono::milliseconds keptFor { 0 }; ///< the chain is retained for at least so long; 0: not said
+    MSGPACK_DEFINE(links, keptFor)
 };
 
 /// Only servers of this service and software version may resume the stream.
