--- a/libs/core/src/forward/turns.cpp
+++ b/libs/core/src/forward/turns.cpp
@@ -36,7 +36,8 @@
     {
         const auto& request = call.request;
         const wire::reserve_tokens command { call.account, request.programContext.program, request.attempt,
-            request.maxOutputTokens, request.programContext.budgetTokens, std::max(call.route.retention, minRetention) };
+            request.maxOutputTokens, request.programContext.budgetTokens,
+            std::max(call.route.retention, minRetention) + timeLeft(c, call) };
         call.reserveRequest = controller_client::send(c.state.controllers, accountGroup(c, call),
             wire::command(command), "reserve_tokens", c.now, controllerTimeout(c, call), c.out);
         c.state.callByControllerRequest[call.reserveRequest] = call.exchange;
--- a/libs/core/tests/test_forward_turns.cpp
+++ b/libs/core/tests/test_forward_turns.cpp
@@ -215,6 +215,16 @@
     }
 }
 
+// Guards against a budget that is forgotten, and begins anew, while a turn of its program is under way.
+TEST_CASE("A budget is remembered until its turn has ended and for its retention from then on", "[forward]")
+{
+    forward_gateway gateway;
+    gateway.configure();
+    gateway.dispatch(makeTurn(gateway, "/draft/1"));
+    const auto command = decoded<wire::reserve_tokens>(gateway.takeControllerRequest());
+    CHECK(command.retention == std::chrono::milliseconds(60'000 + 3'000));
+}
+
 TEST_CASE("Cached turns are kept apart by account", "[forward]")
 {
     turn_cache cache;
