Admission: a missing route or key is confirmed before a request is refused for it

A 404 ends a program.

Cause: the gateway answered from whatever table it held. confirmedAt was written and read by nothing that decides.

Polls are answered by the leader under its lease, which rules out an old answer.

With no controller connected it is refused as not run at once.

The tests fail with the check taken out.

--- a/libs/core/include/core/controller_client/config_poll.hpp
+++ b/libs/core/include/core/controller_client/config_poll.hpp
@@ -29,6 +29,9 @@
 void pollConfiguration(client_state& client, poll_state& poll, wire::config_poll held,
     std::chrono::milliseconds interval, time_point now, effects& out);
 
+/// The next poll is due at once, but no sooner than a short pause after the last one. A poll under way is waited for.
+void hastenPoll(poll_state& poll, time_point now);
+
 /// A controller is gone, maybe the one that was asked: polls another at the next call of pollConfiguration().
 void repollConfiguration(poll_state& poll, time_point now);
 
--- a/libs/core/include/core/forward/forward_call.hpp
+++ b/libs/core/include/core/forward/forward_call.hpp
@@ -13,13 +13,14 @@
 namespace cuminledge::core::forward {
 
 enum class call_step : std::uint8_t {
+    Confirm, ///< waits until the controllers confirm that the configuration has no route or account for it
     Rate, ///< waits for a rate token of its account
     Prepare, ///< waits for its budget reservation or the earlier turns
     Run, ///< sent to a backend server
     Retain ///< answered, but the turn is not durable yet
 };
 
-/// @return "rate", "prepare", "run" or "retain".
+/// @return "confirm", "rate", "prepare", "run" or "retain".
 const char* toString(call_step step);
 
 /// The part of the answer received so far.
--- a/libs/core/include/core/forward/forwarder.hpp
+++ b/libs/core/include/core/forward/forwarder.hpp
@@ -53,6 +53,7 @@
     std::uint64_t requests = 0;
     std::uint64_t refused = 0;
     std::uint64_t newProgramsRefused = 0; ///< first turns refused because their account's rate was used up
+    std::uint64_t confirmations = 0; ///< times that a request waited for the configuration to be confirmed
     std::uint64_t rateRetries = 0; ///< times that a request of a known program was held to ask again for a rate token
     std::uint64_t answered = 0;
     std::uint64_t broken = 0; ///< answers aborted before their end
@@ -81,6 +82,7 @@
     turn_cache turns;
     std::unordered_map<exchange_id, forward_call> calls;
     std::set<std::pair<time_point, exchange_id>> expiries; ///< of all calls
+    std::set<exchange_id> unconfirmed; ///< calls in step Confirm
     std::unordered_map<std::string, exchange_id> callByUpstream;
     std::unordered_map<std::uint64_t, exchange_id> callByControllerRequest; ///< by id of the request to the controllers
     std::size_t heldAnswerBytes = 0; ///< kept of the answers of all calls
--- a/libs/core/src/controller_client/config_poll.cpp
+++ b/libs/core/src/controller_client/config_poll.cpp
@@ -1,5 +1,7 @@
 #include <core/controller_client/config_poll.hpp>
 
+#include <algorithm>
+
 #include <core/group.hpp>
 
 namespace cuminledge::core::controller_client {
@@ -9,6 +11,7 @@
     /// An unanswered poll is given up after so many intervals, and another controller is asked.
     constexpr int pollPatience = 2;
     constexpr std::chrono::milliseconds redirectPause { 20 };
+    constexpr std::chrono::milliseconds hastenedInterval { 50 };
 
 } // namespace
 
@@ -40,6 +43,11 @@
     out.emplace_back(send_message { target, held });
 }
 
+void hastenPoll(poll_state& poll, time_point now)
+{
+    poll.nextAt = std::min(poll.nextAt, std::max(now, poll.sentAt + hastenedInterval));
+}
+
 void repollConfiguration(poll_state& poll, time_point now)
 {
     poll.request = 0;
--- a/libs/core/src/forward/admission.cpp
+++ b/libs/core/src/forward/admission.cpp
@@ -60,7 +60,7 @@
     {
         const auto callers = call.request.timeLeft;
         call.isExpiryFromCaller = callers.count() > 0 && callers < call.route.timeout;
-        call.expiresAt = c.now + (call.isExpiryFromCaller ? callers : call.route.timeout);
+        call.expiresAt = call.arrived + (call.isExpiryFromCaller ? callers : call.route.timeout);
         c.state.expiries.insert({ call.expiresAt, call.exchange });
     }
 
@@ -76,40 +76,101 @@
         return c.state.shutdown == shutdown_phase::Draining && call.expiresAt > c.state.shutdownStepAt;
     }
 
-} // namespace
+    /// @return whether the controllers have said, since the request came, that the configuration is the newest. Without
+    ///         that a route or key may be missing here which other gateways serve already.
+    bool isConfirmed(const context& c, const forward_call& call)
+    {
+        return c.state.configuration.confirmedAt >= call.arrived;
+    }
 
-void admit(context& c, const forward_request& request)
-{
-    ++c.state.counters.requests;
-    auto& call = openCall(c, request);
-    if (const auto problem = assignRoute(c, call)) {
-        failCall(c, call, *problem);
-        return;
+    /// Holds the call until the next poll of the configuration is answered.
+    void awaitConfiguration(context& c, forward_call& call)
+    {
+        ++c.state.counters.confirmations;
+        call.step = call_step::Confirm;
+        const auto callers = call.request.timeLeft;
+        call.isExpiryFromCaller = callers.count() > 0 && callers < c.state.settings.controllerTimeout;
+        call.expiresAt = call.arrived + (call.isExpiryFromCaller ? callers : c.state.settings.controllerTimeout);
+        c.state.expiries.insert({ call.expiresAt, call.exchange });
+        c.state.unconfirmed.insert(call.exchange);
+        controller_client::hastenPoll(c.state.configuration.poll, c.now);
     }
-    setExpiry(c, call);
-    if (outlivesProcess(c, call)) {
-        failCall(c, call, { error_code::Unavailable, "the gateway is shutting down", c.state.settings.defaultRetryAfter });
-        return;
+
+    /// Refuses the call for a reason that ends its program, which must hold in the newest configuration.
+    void failIfConfirmed(context& c, forward_call& call, const refusal& reason)
+    {
+        if (isConfirmed(c, call)) {
+            failCall(c, call, reason);
+        } else if (c.state.controllers.connected.empty()) {
+            failCall(c, call, { error_code::Unavailable, "the configuration can't be confirmed: no controller is connected", c.state.settings.defaultRetryAfter });
+        } else {
+            awaitConfiguration(c, call);
+        }
+    }
+
+    bool isFinal(const refusal& reason)
+    {
+        return reason.code == error_code::NotFound;
     }
-    const bool hasAccounts = !c.state.configuration.table.accounts.empty();
-    const wire::account_rule* account = nullptr;
-    if (!call.route.isPublic && hasAccounts) {
-        account = findAccount(c.state.configuration, request.key);
-        if (account == nullptr) {
-            failCall(c, call, { error_code::Unauthenticated, "no account holds the key" });
+
+    void admitCall(context& c, forward_call& call)
+    {
+        if (const auto problem = assignRoute(c, call)) {
+            if (isFinal(*problem)) {
+                failIfConfirmed(c, call, *problem);
+            } else {
+                failCall(c, call, *problem);
+            }
             return;
         }
-        call.account = account->name;
-    }
-    setFingerprint(call);
-    if (!mayRun(c.state.crashes, call.fingerprint)) {
-        failQuarantined(c, call);
-        return;
+        const bool hasAccounts = !c.state.configuration.table.accounts.empty();
+        const wire::account_rule* account = nullptr;
+        if (!call.route.isPublic && hasAccounts) {
+            account = findAccount(c.state.configuration, call.request.key);
+            if (account == nullptr) {
+                failIfConfirmed(c, call, { error_code::Unauthenticated, "no account holds the key" });
+                return;
+            }
+            call.account = account->name;
+        }
+        setExpiry(c, call);
+        if (outlivesProcess(c, call)) {
+            failCall(c, call, { error_code::Unavailable, "the gateway is shutting down", c.state.settings.defaultRetryAfter });
+            return;
+        }
+        setFingerprint(call);
+        if (!mayRun(c.state.crashes, call.fingerprint)) {
+            failQuarantined(c, call);
+            return;
+        }
+        if (account != nullptr && account->ratePerSecond > 0) {
+            requestRate(c, call);
+        } else {
+            prepare(c, call);
+        }
     }
-    if (account != nullptr && account->ratePerSecond > 0) {
-        requestRate(c, call);
-    } else {
-        prepare(c, call);
+
+} // namespace
+
+void admit(context& c, const forward_request& request)
+{
+    ++c.state.counters.requests;
+    admitCall(c, openCall(c, request));
+}
+
+void admitConfirmed(context& c, time_point confirmedAt)
+{
+    const auto waiting = c.state.unconfirmed;
+    for (const auto exchange : waiting) {
+        auto& call = c.state.calls.at(exchange);
+        if (call.arrived > confirmedAt) {
+            controller_client::hastenPoll(c.state.configuration.poll, c.now);
+            continue;
+        }
+        c.state.unconfirmed.erase(exchange);
+        c.state.expiries.erase({ call.expiresAt, exchange });
+        call.step = call_step::Rate;
+        admitCall(c, call);
     }
 }
 
--- a/libs/core/src/forward/answers.cpp
+++ b/libs/core/src/forward/answers.cpp
@@ -69,6 +69,7 @@
     }
     releaseHeldBytes(c, call);
     c.state.expiries.erase({ call.expiresAt, call.exchange });
+    c.state.unconfirmed.erase(call.exchange);
     c.state.calls.erase(call.exchange);
 }
 
--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -475,6 +475,10 @@
         { { "server", call.server }, { "has_caller", call.hasCaller ? "yes" : "no" },
             { "held_bytes", std::to_string(heldBytes(call.answer)) } });
     stopUpstream(c, call, isRunning && !call.answer.hasHead);
+    if (call.step == call_step::Confirm) {
+        failCall(c, call, { error_code::Unavailable, "the configuration can't be confirmed", c.state.settings.defaultRetryAfter });
+        return;
+    }
     failCall(c, call,
         { call.possibleRuns > 0 ? error_code::Timeout : error_code::Unavailable,
             call.isExpiryFromCaller ? "the caller's deadline has passed" : "the route's timeout has passed" });
--- a/libs/core/src/forward/configuration.cpp
+++ b/libs/core/src/forward/configuration.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "admission.hpp"
 #include "crashes.hpp"
 #include "lifecycle.hpp"
 #include "server_limits.hpp"
@@ -88,6 +89,7 @@
     configuration.membershipEpoch = update.membershipEpoch;
     configuration.membershipVersion = update.membershipVersion;
     updateReadiness(c);
+    admitConfirmed(c, sentAt);
 }
 
 } // namespace cuminledge::core::forward
--- a/libs/core/src/forward/context.cpp
+++ b/libs/core/src/forward/context.cpp
@@ -9,6 +9,8 @@
 const char* toString(call_step step)
 {
     switch (step) {
+    case call_step::Confirm:
+        return "confirm";
     case call_step::Rate:
         return "rate";
     case call_step::Prepare:
--- a/libs/core/src/forward/dump.cpp
+++ b/libs/core/src/forward/dump.cpp
@@ -70,6 +70,7 @@
         value["requests"] = Json::UInt64(counters.requests);
         value["refused"] = Json::UInt64(counters.refused);
         value["programs_turned_away"] = Json::UInt64(counters.newProgramsRefused);
+        value["confirmations"] = Json::UInt64(counters.confirmations);
         value["rate_retries"] = Json::UInt64(counters.rateRetries);
         value["answered"] = Json::UInt64(counters.answered);
         value["broken"] = Json::UInt64(counters.broken);
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -204,6 +204,97 @@
     CHECK(gateway.state.calls.empty());
 }
 
+namespace {
+
+/// Answers the poll under way with the configuration, or with none if it is unchanged.
+void answerPoll(forward_gateway& gateway, bool isChanged)
+{
+    wire::config_update update;
+    update.request = gateway.state.configuration.poll.request;
+    REQUIRE(update.request != 0);
+    update.routesVersion = gateway.table.version;
+    update.routes = isChanged ? wire::encodeStruct(gateway.table) : std::string();
+    update.membershipEpoch = 1;
+    update.membershipVersion = 1;
+    gateway.dispatch(peer_message { "c1", 1, update });
+}
+
+} // namespace
+
+// Guards against a gateway behind a freeze that answers 404 or 401 from a configuration that has been replaced meanwhile.
+TEST_CASE("A missing route or account is confirmed by the controllers before the request is refused for it", "[forward]")
+{
+    forward_gateway gateway;
+    gateway.configure();
+    gateway.clock.advance(3s);
+    auto request = gateway.makeRequest("/pay/1");
+    const bool isRouteMissing = GENERATE(true, false);
+    if (isRouteMissing) {
+        request.target = "/new/1";
+    } else {
+        request.key = "key-new";
+    }
+    gateway.dispatch(request);
+    CHECK_FALSE(gateway.takeEffect<refuse_caller>());
+    gateway.dispatch(tick {});
+    SECTION("it has been added")
+    {
+        ++gateway.table.version;
+        gateway.table.routes.push_back(forward_gateway::makeRoute("/new/", "shop"));
+        gateway.table.accounts[0].keys.emplace_back("key-new");
+        answerPoll(gateway, true);
+        CHECK(gateway.takeEffect<forward_upstream>()->timeLeft == 3s);
+        CHECK(gateway.state.expiries.size() == 1);
+    }
+    SECTION("it is not there")
+    {
+        answerPoll(gateway, false);
+        CHECK(gateway.takeEffect<refuse_caller>()->code
+            == (isRouteMissing ? error_code::NotFound : error_code::Unauthenticated));
+        CHECK(gateway.state.calls.empty());
+        CHECK(gateway.state.expiries.empty());
+    }
+    SECTION("the controllers do not answer")
+    {
+        gateway.advance(gateway.state.settings.controllerTimeout);
+        const auto refusal = gateway.takeEffect<refuse_caller>();
+        CHECK(refusal->code == error_code::Unavailable);
+        CHECK(refusal->retryAfter > 0ms);
+        CHECK_FALSE(refusal->mayHaveRun);
+        CHECK(gateway.state.unconfirmed.empty());
+    }
+    SECTION("no controller is connected: refused at once, without a wait")
+    {
+        gateway.dispatch(peer_disconnected { "c1", "" });
+        gateway.out.clear();
+        gateway.dispatch(gateway.makeRequest("/new/2"));
+        CHECK(gateway.takeEffect<refuse_caller>()->code == error_code::Unavailable);
+    }
+    SECTION("the caller leaves first")
+    {
+        gateway.dispatch(caller_gone { firstExchange, "" });
+        CHECK(gateway.state.calls.empty());
+        CHECK(gateway.state.unconfirmed.empty());
+        answerPoll(gateway, false);
+        CHECK_FALSE(gateway.takeEffect<refuse_caller>());
+    }
+}
+
+// Guards against a poll that was sent before the request came, and so may have been answered before the change.
+TEST_CASE("A poll from before the request confirms nothing for it", "[forward]")
+{
+    forward_gateway gateway;
+    gateway.configure();
+    gateway.advance(gateway.state.settings.configPollInterval);
+    gateway.clock.advance(10ms);
+    gateway.dispatch(gateway.makeRequest("/new/1"));
+    answerPoll(gateway, false);
+    CHECK_FALSE(gateway.takeEffect<refuse_caller>());
+    gateway.advance(50ms);
+    answerPoll(gateway, false);
+    CHECK(gateway.takeEffect<refuse_caller>()->code == error_code::NotFound);
+}
+
 TEST_CASE("A request whose deadline passes while it runs is refused as possibly run", "[forward]")
 {
     forward_gateway gateway;
