Shutdown: a call that may not be repeated is refused if the process may stop under it

Tried here: once the listener is closed, a request that may outlive the process was refused already (test "A gateway that shuts down refuses a request that it may not be able to finish"). In the 2.5 s before, connections are still accepted and every request was taken, also a payment whose time ends after the process: it was cut at the stop, with its outcome unknown.

Change: in that time too, a call that may not be repeated and may outlive the process is refused as not run; its caller reaches another gateway. Streams and idempotent requests are still taken: most end early, and they can run again. The test failed before.

--- a/libs/core/src/forward/admission.cpp
+++ b/libs/core/src/forward/admission.cpp
@@ -70,10 +70,21 @@
         call.fingerprint = fingerprintOf({ call.account, request.method, request.host, request.target, request.body });
     }
 
-    /// @return whether the process may stop before the call's time has passed.
+    /// @return whether the process may stop before the call's time has passed. While connections are still accepted, only
+    ///         a call that may not be repeated counts: most calls end early, and another gateway can run the others again.
     bool outlivesProcess(const context& c, const forward_call& call)
     {
-        return c.state.shutdown == shutdown_phase::Draining && call.expiresAt > c.state.shutdownStepAt;
+        switch (c.state.shutdown) {
+        case shutdown_phase::Running:
+            return false;
+        case shutdown_phase::Announced: {
+            const bool isRepeatable = call.route.isStream || call.route.isIdempotent;
+            return !isRepeatable && call.expiresAt > c.state.shutdownStepAt + c.state.settings.shutdownLimit;
+        }
+        case shutdown_phase::Draining:
+            return call.expiresAt > c.state.shutdownStepAt;
+        }
+        return false;
     }
 
     /// @return whether the controllers have said, since the request came, that the configuration is the newest. Without
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -400,6 +400,34 @@
     CHECK(gateway.state.calls.empty());
 }
 
+// Guards against a payment that is taken after SIGTERM, while connections are still accepted, and cut at the stop.
+TEST_CASE("A gateway that is asked to stop refuses a call that may not be repeated and may outlive it", "[forward]")
+{
+    forward_gateway gateway;
+    const auto untilStop = gateway.state.settings.shutdownDelay + gateway.state.settings.shutdownLimit;
+    for (auto& route : gateway.table.routes) {
+        route.timeout = 60s;
+    }
+    gateway.configure();
+    gateway.dispatch(shutdown_requested {});
+    gateway.advance(1s);
+    const auto dispatch = [&](const std::string& target, std::chrono::milliseconds timeLeft) {
+        auto request = gateway.makeRequest(target);
+        request.timeLeft = timeLeft;
+        gateway.dispatch(request);
+        return gateway.takeEffect<forward_upstream>().has_value();
+    };
+    CHECK(dispatch("/pay/1", untilStop - 1s));
+    CHECK(dispatch("/status/1", 60s));
+    CHECK(dispatch("/draft/1", 60s));
+    CHECK_FALSE(dispatch("/pay/1", untilStop - 999ms));
+    const auto refusal = gateway.takeEffect<refuse_caller>();
+    REQUIRE(refusal);
+    CHECK(refusal->code == error_code::Unavailable);
+    CHECK_FALSE(refusal->mayHaveRun);
+    CHECK(refusal->retryAfter > 0ms);
+}
+
 // Guards against a request that is taken shortly before the process stops, and cut then.
 TEST_CASE("A gateway that shuts down refuses a request that it may not be able to finish", "[forward]")
 {
