Resumption: a gateway that is out of step learns the newest servers before it resumes a stream

A report of other operators: one front machine was out of step (cut off, or standing still) while servers of a new software version joined. Streams broke, were taken up at that machine and went on at a server of another version (ORDER).

Tried here: streams that began at the new version are not joined, as their version is read from their account's group and no server of the out-of-step list has it. The opposite could happen: a server that is back under its id with the new version stands in that list with the old one, and a stream of the old version went on there. The test shows it for a caller's resumption and for the gateway's own.

Change: a stream is resumed from a list of servers that was confirmed within the last second (polls come every 300 ms). An older list is confirmed first, by a poll sent from then on; with no controller connected the stream is broken off, or the resumption refused as not run. A restart of the stream's own server that this poll brings counts too.

The test failed before.

--- a/libs/core/include/core/forward/forward_call.hpp
+++ b/libs/core/include/core/forward/forward_call.hpp
@@ -13,7 +13,7 @@
 namespace cuminledge::core::forward {
 
 enum class call_step : std::uint8_t {
-    Confirm, ///< waits until the controllers confirm that the configuration has no route or account for it
+    Confirm, ///< waits until the controllers confirm the configuration, from which it would be refused or resumed
     Rate, ///< waits for a rate token of its account
     Prepare, ///< waits for its budget reservation or the earlier turns
     Run, ///< sent to a backend server
@@ -59,6 +59,7 @@
     call_step step = call_step::Rate;
     time_point arrived {};
     time_point expiresAt {}; ///< the caller's deadline or the route's timeout, whichever comes first
+    time_point confirmSince {}; ///< in step Confirm: a poll that was sent from then on confirms
     bool isExpiryFromCaller = false; ///< expiresAt is the caller's deadline
     time_point rateRetryAt {}; ///< next request for a rate token, if listed in forwarder_state::rateRetries
 
--- a/libs/core/include/core/forward/forwarder_settings.hpp
+++ b/libs/core/include/core/forward/forwarder_settings.hpp
@@ -18,6 +18,7 @@
     std::chrono::milliseconds firstPollInterval { 60 }; ///< while no configuration or no server is known
     std::chrono::milliseconds startUpTime { 1'500 }; ///< expected time until the controllers answer when all processes start together
     std::chrono::milliseconds controllerTimeout { 1'500 }; ///< longest wait for a budget reservation or a turn's chain
+    std::chrono::milliseconds maxServersAge { 1'000 }; ///< of the list of servers from which a stream is resumed
     std::chrono::milliseconds settleTimeout { 10'000 }; ///< how long a settlement, or the record of a stream, is resent
     std::chrono::milliseconds rateWaitLimit { 600 }; ///< longest wait of a known program's request for its account's rate
     std::chrono::milliseconds defaultRetryAfter { 250 }; ///< Retry-After of refusals when no server or controller can take the request
--- a/libs/core/src/forward/admission.cpp
+++ b/libs/core/src/forward/admission.cpp
@@ -6,7 +6,9 @@
 #include <core/request_fingerprint.hpp>
 
 #include "answers.hpp"
+#include "configuration.hpp"
 #include "rate.hpp"
+#include "stream_origin.hpp"
 #include "turns.hpp"
 
 namespace cuminledge::core::forward {
@@ -87,35 +89,14 @@
         return false;
     }
 
-    /// @return whether the controllers have said, since the request came, that the configuration is the newest. Without
-    ///         that a route or key may be missing here which other gateways serve already.
-    bool isConfirmed(const context& c, const forward_call& call)
-    {
-        return c.state.configuration.confirmedAt >= call.arrived;
-    }
-
-    /// Holds the call until the next poll of the configuration is answered.
-    void awaitConfiguration(context& c, forward_call& call)
-    {
-        ++c.state.counters.confirmations;
-        call.step = call_step::Confirm;
-        const auto callers = call.request.timeLeft;
-        call.isExpiryFromCaller = callers.count() > 0 && callers < c.state.settings.controllerTimeout;
-        call.expiresAt = call.arrived + (call.isExpiryFromCaller ? callers : c.state.settings.controllerTimeout);
-        c.state.expiries.insert({ call.expiresAt, call.exchange });
-        c.state.unconfirmed.insert(call.exchange);
-        controller_client::hastenPoll(c.state.configuration.poll, c.now);
-    }
-
-    /// Refuses the call for a reason that ends its program, which must hold in the newest configuration.
+    /// Refuses the call for a reason that ends its program, which must hold in the newest configuration: a route or key may
+    /// be missing here which other gateways serve already.
     void failIfConfirmed(context& c, forward_call& call, const refusal& reason)
     {
-        if (isConfirmed(c, call)) {
+        if (isConfirmedSince(c, call.arrived)) {
             failCall(c, call, reason);
-        } else if (c.state.controllers.connected.empty()) {
-            failCall(c, call, { error_code::Unavailable, "the configuration can't be confirmed: no controller is connected", c.state.settings.defaultRetryAfter });
         } else {
-            awaitConfiguration(c, call);
+            awaitConfirmation(c, call);
         }
     }
 
@@ -144,6 +125,10 @@
             }
             call.account = account->name;
         }
+        if (resumesStream(call) && !knowsServers(c)) {
+            awaitConfirmation(c, call);
+            return;
+        }
         setExpiry(c, call);
         if (outlivesProcess(c, call)) {
             failCall(c, call, { error_code::Unavailable, "the gateway is shutting down", c.state.settings.defaultRetryAfter });
@@ -169,20 +154,11 @@
     admitCall(c, openCall(c, request));
 }
 
-void admitConfirmed(context& c, time_point confirmedAt)
+void admitAgain(context& c, forward_call& call)
 {
-    const auto waiting = c.state.unconfirmed;
-    for (const auto exchange : waiting) {
-        auto& call = c.state.calls.at(exchange);
-        if (call.arrived > confirmedAt) {
-            controller_client::hastenPoll(c.state.configuration.poll, c.now);
-            continue;
-        }
-        c.state.unconfirmed.erase(exchange);
-        c.state.expiries.erase({ call.expiresAt, exchange });
-        call.step = call_step::Rate;
-        admitCall(c, call);
-    }
+    c.state.expiries.erase({ call.expiresAt, call.exchange });
+    call.step = call_step::Rate;
+    admitCall(c, call);
 }
 
 } // namespace cuminledge::core::forward
--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -9,6 +9,7 @@
 
 #include "answer_memory.hpp"
 #include "answers.hpp"
+#include "configuration.hpp"
 #include "crashes.hpp"
 #include "server_limits.hpp"
 #include "stream_checks.hpp"
@@ -176,6 +177,14 @@
         return found != c.state.servers.servers.end() && found->second.record.incarnation != call.serverIncarnation;
     }
 
+    /// The events may be of the new start of the server, whose software version the send did not know.
+    void noteRestart(context& c, forward_call& call)
+    {
+        if (!call.origin.service.empty() && hasRestarted(c, call)) {
+            invalidateOrigin(c, call);
+        }
+    }
+
     /// Ties the tries of one request together, and tells how the exchange with the server ended.
     void logLostAnswer(context& c, const forward_call& call, const std::string& reason)
     {
@@ -191,16 +200,17 @@
         ++c.state.counters.lost;
         logLostAnswer(c, call, reason);
         discardAnswer(c, call);
-        if (!call.origin.service.empty() && hasRestarted(c, call)) {
-            // The events may be of the new start, whose software version the send did not know.
-            invalidateOrigin(c, call);
-        }
         if (canRunAgain(c, call)) {
             c.state.counters.resumed += call.answer.hasBegun ? 1 : 0;
             logRetry(c, call, reason);
-            startAttempt(c, call);
+            if (call.answer.hasBegun && !knowsServers(c)) {
+                awaitConfirmation(c, call);
+            } else {
+                resumeStream(c, call);
+            }
             return;
         }
+        noteRestart(c, call);
         failCall(c, call, { error_code::Protocol, "the server broke off: " + reason });
     }
 
@@ -424,6 +434,13 @@
     }
 }
 
+void resumeStream(context& c, forward_call& call)
+{
+    call.step = call_step::Run;
+    noteRestart(c, call);
+    startAttempt(c, call);
+}
+
 void onCallerBlocked(context& c, exchange_id exchange)
 {
     const auto found = c.state.calls.find(exchange);
--- a/libs/core/src/forward/attempts.hpp
+++ b/libs/core/src/forward/attempts.hpp
@@ -17,6 +17,9 @@
 /// @param hasFailed whether the server is at fault.
 void stopUpstream(context& c, forward_call& call, bool hasFailed);
 
+/// Sends a begun stream on to another server of its software version, or breaks it off if there is none.
+void resumeStream(context& c, forward_call& call);
+
 /// Stops reading the server's answer until the caller has read what waits for it.
 void onCallerBlocked(context& c, exchange_id exchange);
 void onCallerUnblocked(context& c, exchange_id exchange);
--- a/libs/core/src/forward/configuration.cpp
+++ b/libs/core/src/forward/configuration.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "admission.hpp"
+#include "answers.hpp"
+#include "attempts.hpp"
 #include "crashes.hpp"
 #include "lifecycle.hpp"
 #include "server_limits.hpp"
@@ -47,8 +49,65 @@
         }
     }
 
+    void limitWait(context& c, forward_call& call)
+    {
+        const auto callers = call.request.timeLeft;
+        const auto limit = c.state.settings.controllerTimeout;
+        call.isExpiryFromCaller = callers.count() > 0 && callers < limit;
+        call.expiresAt = call.arrived + (call.isExpiryFromCaller ? callers : limit);
+        c.state.expiries.insert({ call.expiresAt, call.exchange });
+    }
+
+    /// Continues the calls that wait for a confirmation.
+    /// @param confirmedAt when the poll was sent that has now been answered; calls that wait since later wait on.
+    void continueConfirmed(context& c, time_point confirmedAt)
+    {
+        const auto waiting = c.state.unconfirmed;
+        for (const auto exchange : waiting) {
+            auto& call = c.state.calls.at(exchange);
+            if (call.confirmSince > confirmedAt) {
+                controller_client::hastenPoll(c.state.configuration.poll, c.now);
+                continue;
+            }
+            c.state.unconfirmed.erase(exchange);
+            if (call.answer.hasBegun) {
+                resumeStream(c, call);
+            } else {
+                admitAgain(c, call);
+            }
+        }
+    }
+
 } // namespace
 
+bool isConfirmedSince(const context& c, time_point since)
+{
+    return c.state.configuration.confirmedAt >= since;
+}
+
+bool knowsServers(const context& c)
+{
+    return isConfirmedSince(c, c.now - c.state.settings.maxServersAge);
+}
+
+void awaitConfirmation(context& c, forward_call& call)
+{
+    if (c.state.controllers.connected.empty()) {
+        failCall(c, call,
+            { error_code::Unavailable, "the configuration can't be confirmed: no controller is connected",
+                c.state.settings.defaultRetryAfter });
+        return;
+    }
+    ++c.state.counters.confirmations;
+    call.step = call_step::Confirm;
+    call.confirmSince = c.now;
+    if (!call.answer.hasBegun) {
+        limitWait(c, call);
+    }
+    c.state.unconfirmed.insert(call.exchange);
+    controller_client::hastenPoll(c.state.configuration.poll, c.now);
+}
+
 static std::chrono::milliseconds pollInterval(const context& c)
 {
     const auto& state = c.state;
@@ -89,7 +148,7 @@
     configuration.membershipEpoch = update.membershipEpoch;
     configuration.membershipVersion = update.membershipVersion;
     updateReadiness(c);
-    admitConfirmed(c, sentAt);
+    continueConfirmed(c, sentAt);
 }
 
 } // namespace cuminledge::core::forward
--- a/libs/core/tests/forward_gateway.hpp
+++ b/libs/core/tests/forward_gateway.hpp
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include <catch2/catch.hpp>
+
 #include <core/forward/forwarder.hpp>
 
 /// Test fixture: a forwarding gateway without sockets. Tests dispatch events to it and take its effects.
@@ -102,6 +104,20 @@
         out.clear();
     }
 
+    /// Answers the poll under way. @param servers that have changed. @param hasRoutes the route table is part of the answer.
+    void answerPoll(std::vector<wire::backend_record> servers = {}, bool hasRoutes = false)
+    {
+        wire::config_update update;
+        update.request = state.configuration.poll.request;
+        REQUIRE(update.request != 0);
+        update.routesVersion = table.version;
+        update.routes = hasRoutes ? wire::encodeStruct(table) : std::string();
+        update.membershipEpoch = 1;
+        update.membershipVersion = state.configuration.membershipVersion + (servers.empty() ? 0 : 1);
+        update.backends = std::move(servers);
+        dispatch(peer_message { "c1", 1, update });
+    }
+
     forward_request makeRequest(const std::string& target)
     {
         forward_request request;
--- a/libs/core/tests/test_forward_requests.cpp
+++ b/libs/core/tests/test_forward_requests.cpp
@@ -204,23 +204,6 @@
     CHECK(gateway.state.calls.empty());
 }
 
-namespace {
-
-/// Answers the poll under way with the configuration, or with none if it is unchanged.
-void answerPoll(forward_gateway& gateway, bool isChanged)
-{
-    wire::config_update update;
-    update.request = gateway.state.configuration.poll.request;
-    REQUIRE(update.request != 0);
-    update.routesVersion = gateway.table.version;
-    update.routes = isChanged ? wire::encodeStruct(gateway.table) : std::string();
-    update.membershipEpoch = 1;
-    update.membershipVersion = 1;
-    gateway.dispatch(peer_message { "c1", 1, update });
-}
-
-} // namespace
-
 // Guards against a gateway behind a freeze that answers 404 or 401 from a configuration that has been replaced meanwhile.
 TEST_CASE("A missing route or account is confirmed by the controllers before the request is refused for it", "[forward]")
 {
@@ -242,13 +225,13 @@
         ++gateway.table.version;
         gateway.table.routes.push_back(forward_gateway::makeRoute("/new/", "shop"));
         gateway.table.accounts[0].keys.emplace_back("key-new");
-        answerPoll(gateway, true);
+        gateway.answerPoll({}, true);
         CHECK(gateway.takeEffect<forward_upstream>()->timeLeft == 3s);
         CHECK(gateway.state.expiries.size() == 1);
     }
     SECTION("it is not there")
     {
-        answerPoll(gateway, false);
+        gateway.answerPoll();
         CHECK(gateway.takeEffect<refuse_caller>()->code
             == (isRouteMissing ? error_code::NotFound : error_code::Unauthenticated));
         CHECK(gateway.state.calls.empty());
@@ -275,7 +258,7 @@
         gateway.dispatch(caller_gone { firstExchange, "" });
         CHECK(gateway.state.calls.empty());
         CHECK(gateway.state.unconfirmed.empty());
-        answerPoll(gateway, false);
+        gateway.answerPoll();
         CHECK_FALSE(gateway.takeEffect<refuse_caller>());
     }
 }
@@ -288,10 +271,10 @@
     gateway.advance(gateway.state.settings.configPollInterval);
     gateway.clock.advance(10ms);
     gateway.dispatch(gateway.makeRequest("/new/1"));
-    answerPoll(gateway, false);
+    gateway.answerPoll();
     CHECK_FALSE(gateway.takeEffect<refuse_caller>());
     gateway.advance(50ms);
-    answerPoll(gateway, false);
+    gateway.answerPoll();
     CHECK(gateway.takeEffect<refuse_caller>()->code == error_code::NotFound);
 }
 
--- a/libs/core/tests/test_forward_resumption.cpp
+++ b/libs/core/tests/test_forward_resumption.cpp
@@ -121,6 +121,67 @@
     }
 }
 
+// Guards against a gateway that was cut off or stood still while a server changed its version, and resumes a stream there.
+TEST_CASE("A gateway that is out of step resumes no stream before it knows the newest servers", "[forward][resumption]")
+{
+    forward_gateway gateway;
+    gateway.configure();
+    setEngines(gateway, { { "e1", "v1" }, { "e2", "v1" } });
+    auto reborn = forward_gateway::makeServer("e2", "engines", "v2");
+    reborn.incarnation = 2;
+    const auto other = forward_gateway::makeServer("e3", "engines", "v1");
+    SECTION("of a caller")
+    {
+        gateway.clock.advance(gateway.state.settings.maxServersAge + 1ms);
+        gateway.dispatch(makeResumption(gateway, "first"));
+        CHECK_FALSE(gateway.takeControllerRequest());
+        gateway.dispatch(tick {});
+        gateway.answerPoll({ reborn, other });
+        gateway.state.servers.servers.at("e1").isGone = true;
+        gateway.answer(*gateway.takeControllerRequest(), wire::stream_origin { "engines", "v1" });
+        CHECK(gateway.takeEffect<forward_upstream>()->backend == "e3");
+        CHECK(gateway.state.expiries.size() == 1);
+    }
+    SECTION("of its own")
+    {
+        const auto first = beginStream(gateway);
+        gateway.takeControllerRequest();
+        gateway.clock.advance(gateway.state.settings.maxServersAge + 1ms);
+        gateway.dispatch(upstream_failed { first.request, upstream_phase::Answering, "reset" });
+        CHECK_FALSE(gateway.takeEffect<forward_upstream>());
+        gateway.dispatch(tick {});
+        if (first.backend == "e1") {
+            gateway.answerPoll({ reborn, other });
+            CHECK(gateway.takeEffect<forward_upstream>()->backend == "e3");
+        } else {
+            // The stream's own server: its events may be of the new version.
+            gateway.answerPoll({ reborn, other });
+            CHECK_FALSE(gateway.takeEffect<forward_upstream>());
+            CHECK(gateway.takeEffect<abort_exchange>());
+        }
+    }
+    SECTION("of its own, whose caller leaves first")
+    {
+        const auto first = beginStream(gateway);
+        gateway.clock.advance(gateway.state.settings.maxServersAge + 1ms);
+        gateway.dispatch(upstream_failed { first.request, upstream_phase::Answering, "reset" });
+        gateway.dispatch(caller_gone { firstExchange, "" });
+        CHECK(gateway.state.calls.empty());
+        CHECK(gateway.state.unconfirmed.empty());
+    }
+    SECTION("while no controller is connected: the stream is broken off, and a caller's resumption refused")
+    {
+        const auto first = beginStream(gateway);
+        gateway.clock.advance(gateway.state.settings.maxServersAge + 1ms);
+        gateway.dispatch(peer_disconnected { "c1", "" });
+        gateway.dispatch(upstream_failed { first.request, upstream_phase::Answering, "reset" });
+        CHECK_FALSE(gateway.takeEffect<forward_upstream>());
+        CHECK(gateway.takeEffect<abort_exchange>());
+        gateway.dispatch(makeResumption(gateway, "first"));
+        checkRefusedAsNotRun(gateway);
+    }
+}
+
 // Guards against resuming where the version is not known, which would be a guess.
 TEST_CASE("A stream of a server without a known software version is not resumed elsewhere", "[forward][resumption]")
 {
