--- a/libs/core/src/forward/answers.cpp
+++ b/libs/core/src/forward/answers.cpp
@@ -8,6 +8,7 @@
 #include "attempts.hpp"
 #include "crashes.hpp"
 #include "rate.hpp"
+#include "server_answer.hpp"
 #include "turns.hpp"
 
 namespace cuminledge::core::forward {
--- a/libs/core/src/forward/context.cpp
+++ b/libs/core/src/forward/context.cpp
@@ -46,6 +46,18 @@
     c.out.emplace_back(record_metric { name, 1, false });
 }
 
+std::chrono::milliseconds timeLeft(const context& c, const forward_call& call)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(call.expiresAt - c.now);
+}
+
+bool isSuccess(std::uint32_t status)
+{
+    constexpr std::uint32_t firstSuccess = 200;
+    constexpr std::uint32_t lastSuccess = 299;
+    return status >= firstSuccess && status <= lastSuccess;
+}
+
 std::uint32_t accountGroup(const context& c, const forward_call& call)
 {
     return groupOfAccount(call.account, c.state.configuration.groupCount);
@@ -53,8 +65,7 @@
 
 std::chrono::milliseconds controllerTimeout(const context& c, const forward_call& call)
 {
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.expiresAt - c.now);
-    return std::clamp(left, std::chrono::milliseconds(1), c.state.settings.controllerTimeout);
+    return std::clamp(timeLeft(c, call), std::chrono::milliseconds(1), c.state.settings.controllerTimeout);
 }
 
 std::chrono::milliseconds age(const context& c, const forward_call& call)
--- a/libs/core/src/forward/context.hpp
+++ b/libs/core/src/forward/context.hpp
@@ -27,6 +27,12 @@
 /// @return the time since the request arrived.
 std::chrono::milliseconds age(const context& c, const forward_call& call);
 
+/// @return the time until the call's deadline.
+std::chrono::milliseconds timeLeft(const context& c, const forward_call& call);
+
+/// @return whether the status is a 2xx.
+bool isSuccess(std::uint32_t status);
+
 /// @return the replication group that holds the state of the call's account.
 std::uint32_t accountGroup(const context& c, const forward_call& call);
 
--- a/libs/core/src/forward/forwarder.cpp
+++ b/libs/core/src/forward/forwarder.cpp
@@ -9,6 +9,7 @@
 #include "dump.hpp"
 #include "lifecycle.hpp"
 #include "rate.hpp"
+#include "server_answer.hpp"
 #include "turns.hpp"
 
 namespace cuminledge::core::forward {
--- a/libs/core/src/forward/stream_checks.cpp
+++ b/libs/core/src/forward/stream_checks.cpp
@@ -4,13 +4,12 @@
 #include <charconv>
 #include <optional>
 
+#include "context.hpp"
+
 namespace cuminledge::core::forward {
 
 namespace {
 
-    constexpr std::uint32_t firstSuccess = 200;
-    constexpr std::uint32_t lastSuccess = 299;
-
     /// @return the content type without its parameters; empty: none is stated.
     std::string mediaType(const std::vector<std::pair<std::string, std::string>>& headers)
     {
@@ -31,8 +30,7 @@
 
 bool continuesStream(const answer_progress& begun, const upstream_head& head)
 {
-    const bool isSuccess = head.status >= firstSuccess && head.status <= lastSuccess;
-    return isSuccess && mediaType(head.headers) == mediaType(begun.headers);
+    return isSuccess(head.status) && mediaType(head.headers) == mediaType(begun.headers);
 }
 
 const char* faultOf(const forward_call& call, const sse_event& event)
--- a/libs/core/src/forward/turns.cpp
+++ b/libs/core/src/forward/turns.cpp
@@ -17,8 +17,6 @@
     constexpr std::chrono::milliseconds minRetention { 60'000 };
     /// Longest time for which a cached turn is known to be retained. Longer ones are looked at again.
     constexpr std::chrono::milliseconds maxKnownRetention { 3'600'000 };
-    constexpr std::uint32_t firstSuccess = 200;
-    constexpr std::uint32_t lastSuccess = 299;
 
     bool hasBudget(const forward_call& call)
     {
@@ -26,11 +24,6 @@
         return call.route.isStream && !place.program.empty() && place.budgetTokens > 0 && !call.account.empty();
     }
 
-    std::chrono::milliseconds timeLeft(const context& c, const forward_call& call)
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(call.expiresAt - c.now);
-    }
-
     /// The budget is remembered until the turn has ended and for its retention from then on.
     void reserve(context& c, forward_call& call)
     {
@@ -219,8 +212,7 @@
 
 bool isRetained(const forward_call& call)
 {
-    const auto status = call.answer.status;
-    return call.route.isStream && call.route.retainsTurns && status >= firstSuccess && status <= lastSuccess;
+    return call.route.isStream && call.route.retainsTurns && isSuccess(call.answer.status);
 }
 
 std::int64_t tokensForwarded(const context& c, const forward_call& call)
