--- a/libs/core/src/forward/answer_memory.cpp
+++ b/libs/core/src/forward/answer_memory.cpp
@@ -32,7 +32,7 @@
 
 void limitHeldBytes(context& c)
 {
-    while (c.state.heldAnswerBytes > c.state.settings.maxAnswerBytes) {
+    while (c.state.heldAnswerBytes > c.state.settings.maxAnswerBytes && !c.state.calls.empty()) {
         auto& call = callThatHoldsMost(c);
         count(c, "forward_answers_over_memory_total");
         failCall(c, call, { error_code::Overloaded, "the answers under way exceed the gateway's memory for them" });
--- a/libs/core/src/forward/configuration.cpp
+++ b/libs/core/src/forward/configuration.cpp
@@ -64,7 +64,11 @@
     {
         const auto waiting = c.state.unconfirmed;
         for (const auto exchange : waiting) {
-            auto& call = c.state.calls.at(exchange);
+            const auto found = c.state.calls.find(exchange);
+            if (found == c.state.calls.end()) {
+                continue;
+            }
+            auto& call = found->second;
             if (call.confirmSince > confirmedAt) {
                 controller_client::hastenPoll(c.state.configuration.poll, c.now);
                 continue;
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -453,10 +453,7 @@
 
 void client_connection::restartSilence()
 {
-    if (m_paused) {
-        return;
-    }
-    if (m_request.silenceTimeout.count() != 0) {
+    if (m_request.silenceTimeout.count() != 0 && !m_paused) {
         setDeadline(m_request.silenceTimeout, "silent past its timeout");
     } else {
         m_deadline.clear();
--- a/libs/net/tests/test_backpressure.cpp
+++ b/libs/net/tests/test_backpressure.cpp
@@ -138,6 +138,39 @@
     thread.call([&] { client.reset(); });
 }
 
+// Guards against a request that fails by its connect timeout after the connection was made.
+TEST_CASE("A request that is paused before it has a connection is sent, and answered once it is resumed", "[backpressure]")
+{
+    large_server server;
+    context_thread thread;
+    std::optional<http_client> client;
+    std::size_t received = 0;
+    bool isFinished = false;
+    bool hasFailed = false;
+    thread.call([&] {
+        http_client_handlers handlers;
+        handlers.onResponse = [](const std::string&, response_head&&) {};
+        handlers.onData = [&](const std::string&, std::string&& data) { received += data.size(); };
+        handlers.onFinished = [&](const std::string&) { isFinished = true; };
+        handlers.onFailed = [&](const std::string&, request_phase, const std::string&) { hasFailed = true; };
+        http_client_settings settings;
+        settings.connectTimeout = std::chrono::milliseconds(50);
+        client.emplace(thread.context(), settings, std::move(handlers));
+        client_request request;
+        request.request = "a";
+        request.address = server.address();
+        request.target = "/";
+        client->start(std::move(request));
+        client->pause("a");
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    CHECK(thread.call([&] { return received; }) == 0);
+    thread.call([&] { client->resume("a"); });
+    CHECK(thread.waitFor([&] { return isFinished || hasFailed; }));
+    CHECK(isFinished);
+    thread.call([&] { client.reset(); });
+}
+
 // Guards against a caller that stays blocked for good, or is never noticed to be behind.
 TEST_CASE("A reader that falls behind is reported, and so is that it has caught up", "[backpressure]")
 {
