Process tests: the test of traces has ports that no other test has

Seen once, in a run of all tests (ctest -j 2): process_trace failed to start its deployment. Its controllers' logs say "Address already in use" for 127.0.0.1:24100 and 24101. The second class of test_kills.py has base port 23700 and its two services at +400; test_trace.py had base 24000 and its controllers at +100. The two overlap where the files run at the same time. The deployment takes offsets up to 401, so 25000 is free of all others.

--- a/tools/local/tests/test_trace.py
+++ b/tools/local/tests/test_trace.py
@@ -8,7 +8,7 @@
 
 
 class TraceTest(DeploymentTest):
-    base_port = 24000
+    base_port = 25000
 
     @classmethod
     def setUpClass(cls):
