--- a/libs/core/tests/test_forward_answer_memory.cpp
+++ b/libs/core/tests/test_forward_answer_memory.cpp
@@ -108,8 +108,10 @@
     forward_gateway gateway;
     gateway.state.settings.maxAnswerBytes = 1U << 20U;
     gateway.configure();
+    constexpr int streamCount = 40;
     std::vector<forward_upstream> streams;
-    for (int i = 0; i < 40; ++i) {
+    streams.reserve(streamCount);
+    for (int i = 0; i < streamCount; ++i) {
         streams.push_back(beginAnswer(gateway, "/chat/1"));
     }
     gateway.dispatch(upstream_data { streams[7].request, makeEvent(1, 60'000) });
