HTTP listener: everything a request sends is bounded, and all requests together

Cause: the parser bounds a head and a body only. A chunk's size line, its extension and the trailers behind the last chunk are parsed whole, so until their end came they were kept in the connection's buffer without a bound. Bodies were bounded one by one (4 MiB) and not in sum.

Ruled out: the readers of heads (431 at the limit) and of request lines; early bytes of pipelined requests (64 KiB each).

Change: what the parser leaves unparsed is bounded by the limit of a head (431). A listener counts what it holds of requests until they are answered; over max_request_bytes the largest request that is still being read is refused with 503 and Retry-After, which is true as the owner never saw it; from half of that on connections read 1 KiB at a time. Buffers of a large request or answer are given back before the next one.

--- a/libs/host/include/host/settings.hpp
+++ b/libs/host/include/host/settings.hpp
@@ -41,6 +41,7 @@
     std::chrono::milliseconds tickInterval { 10 }; ///< how often deadlines are looked at
     std::string dataFolder; ///< controller: log and snapshots
     std::size_t maxBodyBytes = 4U << 20U; ///< of a caller's request
+    std::size_t maxRequestBytes = 12U << 20U; ///< of callers' requests that are not answered, together; twice maxBodyBytes at least
     std::uint32_t maxConnections = 10000; ///< of callers
     std::string settingsFile; ///< where the settings were read
     std::string traceFile; ///< records every event; empty: none
--- a/libs/host/src/admin_listener.cpp
+++ b/libs/host/src/admin_listener.cpp
@@ -8,6 +8,7 @@
 
     constexpr std::uint8_t adminListenerNumber = 2;
     constexpr std::size_t maxAdminBodyBytes = 1024;
+    constexpr std::size_t maxAdminRequestBytes = 1U << 20U; // of all requests together
 
     net::http_server_settings makeServerSettings(const std::string& address)
     {
@@ -15,6 +16,7 @@
         settings.address = address;
         settings.listener = adminListenerNumber;
         settings.maxBodyBytes = maxAdminBodyBytes;
+        settings.maxTotalReceiveBytes = maxAdminRequestBytes;
         return settings;
     }
 
--- a/libs/host/src/host_report.cpp
+++ b/libs/host/src/host_report.cpp
@@ -33,6 +33,8 @@
     server["connections"] = Json::UInt64(counts.connections);
     server["exchanges"] = Json::UInt64(counts.exchanges);
     server["send_buffer_bytes"] = Json::UInt64(counts.sendBufferBytes);
+    server["receive_bytes"] = Json::UInt64(counts.receiveBytes);
+    server["refused_for_memory"] = Json::UInt64(counts.refusedForMemory);
     server["accepted"] = Json::UInt64(counts.accepted);
     server["requests"] = Json::UInt64(counts.requests);
     server["bad_requests"] = Json::UInt64(counts.badRequests);
@@ -58,6 +60,7 @@
             { "exchanges", std::to_string(counts.exchanges) },
             { "unsent_bytes", std::to_string(counts.sendBufferBytes) },
             { "requests", std::to_string(counts.requests) },
+            { "refused_for_memory", std::to_string(counts.refusedForMemory) },
             { "backlog_taken", std::to_string(counts.backlogTaken) }, { "cut_unread", std::to_string(counts.cutUnread) },
             { "cut_reading", std::to_string(counts.cutReading) },
             { "cut_answering", std::to_string(counts.cutAnswering) } });
--- a/libs/host/src/process.cpp
+++ b/libs/host/src/process.cpp
@@ -3,6 +3,7 @@
 
 #include <host/process.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <deque>
@@ -40,9 +41,11 @@
     constexpr std::uint8_t operatorListenerNumber = 3;
     constexpr std::uint8_t controlListenerNumber = 4;
     constexpr std::size_t seedBytes = 8;
+    constexpr std::size_t minRequestsHeld = 2; // of the largest size, so that one that is answered leaves room for the next
     constexpr std::size_t maxSendBytesOfCaller = 2U << 20U; // the largest event, and what came before it
     constexpr std::size_t maxSendBytesOfCallers = 24U << 20U; // waiting for all callers together
     constexpr std::size_t maxManifestRequestBytes = 20U << 20U; // the largest JSON document, quoted once more
+    constexpr std::size_t maxBytesOfOperators = 2 * maxManifestRequestBytes; // of the requests of all operators together
 
     /// A later start has a higher number, as long as the VM's wall clock does not go back past the earlier start.
     std::uint64_t makeIncarnation()
@@ -57,6 +60,7 @@
         server.address = settings.callerAddress;
         server.listener = callerListenerNumber;
         server.maxBodyBytes = settings.maxBodyBytes;
+        server.maxTotalReceiveBytes = std::max(settings.maxRequestBytes, minRequestsHeld * settings.maxBodyBytes);
         server.maxConnections = settings.maxConnections;
         server.maxSendBufferBytes = maxSendBytesOfCaller;
         server.maxTotalSendBytes = maxSendBytesOfCallers;
@@ -69,6 +73,7 @@
         server.address = settings.operatorAddress;
         server.listener = operatorListenerNumber;
         server.maxBodyBytes = maxManifestRequestBytes;
+        server.maxTotalReceiveBytes = maxBytesOfOperators;
         return server;
     }
 
--- a/libs/host/src/settings.cpp
+++ b/libs/host/src/settings.cpp
@@ -99,6 +99,8 @@
             settings.callerAddress = readAddress(reader, "caller_address");
             settings.maxBodyBytes = static_cast<std::size_t>(
                 reader.integer("max_body_bytes", 1024, 64 << 20, static_cast<std::int64_t>(settings.maxBodyBytes)));
+            settings.maxRequestBytes = static_cast<std::size_t>(reader.integer(
+                "max_request_bytes", 1 << 20, 1LL << 40, static_cast<std::int64_t>(settings.maxRequestBytes)));
             settings.maxConnections
                 = static_cast<std::uint32_t>(reader.integer("max_connections", 1, 1000000, settings.maxConnections));
         }
--- a/libs/net/include/net/http_server.hpp
+++ b/libs/net/include/net/http_server.hpp
@@ -20,8 +20,9 @@
 struct http_server_settings {
     std::string address; ///< "IP:PORT"; port 0 takes a free one
     std::uint8_t listener = 0; ///< stands in every exchange id, so that ids of several listeners differ
-    std::size_t maxHeaderBytes = 16U << 10U;
+    std::size_t maxHeaderBytes = 16U << 10U; ///< of a head, of a chunk's size line and of the trailers
     std::size_t maxBodyBytes = 4U << 20U;
+    std::size_t maxTotalReceiveBytes = 0; ///< of all requests that are not answered; beyond it, the largest that is still read is refused. 0: no bound
     std::size_t maxConnections = 4096; ///< further ones are closed at once
     std::size_t blockedSendBytes = 64U << 10U; ///< waiting for a reader: beyond it, onBlocked is called
     std::size_t maxSendBufferBytes = 1U << 20U; ///< waiting for a reader: beyond it, the connection is closed
@@ -56,10 +57,12 @@
     std::size_t connections = 0; ///< open now
     std::size_t exchanges = 0; ///< under way now
     std::size_t sendBufferBytes = 0; ///< waiting now, over all connections
+    std::size_t receiveBytes = 0; ///< held now of requests that are not answered, over all connections
     std::uint64_t accepted = 0;
     std::uint64_t refusedConnections = 0; ///< over maxConnections
     std::uint64_t requests = 0;
     std::uint64_t badRequests = 0; ///< broken HTTP or over a size limit
+    std::uint64_t refusedForMemory = 0; ///< over maxTotalReceiveBytes
     std::uint64_t gone = 0;
     std::uint64_t slowReaders = 0; ///< closed at maxSendBufferBytes, maxTotalSendBytes or writeTimeout
     std::uint64_t timeouts = 0; ///< closed at readTimeout or idleTimeout
@@ -71,8 +74,8 @@
 
 /**
  * An HTTP/1.1 listener with keep-alive. One exchange at a time on each connection; pipelined requests wait for the
- * answer before them. Broken HTTP is answered 400, and 413 or 431 over the size limits, as application/problem+json;
- * the connection then closes.
+ * answer before them. Broken HTTP is answered 400, 413 or 431 over the size limits, and 503 over maxTotalReceiveBytes, as
+ * application/problem+json; the connection then closes. No such request has been passed to the owner.
  *
  *     http_server server(context, { .address = "127.0.0.1:8080" }, { onRequest, onGone });
  *     if (auto port = server.listen(); !port) { ... }
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -19,6 +19,7 @@
 
     constexpr unsigned listenerShift = 56;
     constexpr std::size_t minBlockedSendBytes = 4U << 10U;
+    constexpr std::size_t smallRequestBytes = 4U << 10U; ///< such a request is read whatever the others hold
 
 } // namespace
 
@@ -82,6 +83,7 @@
         counts.exchanges = m_exchanges.size();
         for (const auto& [connection, session] : m_sessions) {
             counts.sendBufferBytes += session->sendBufferBytes();
+            counts.receiveBytes += session->receiveBytes();
         }
         return counts;
     }
@@ -158,6 +160,18 @@
         boost::asio::post(m_context, [self = shared_from_this()] { self->closeSlowest(); });
     }
 
+    void addReceiveBytes(std::ptrdiff_t count) override
+    {
+        m_receiveBytes += count;
+        if (!isOverReceiveLimit(m_settings.maxTotalReceiveBytes) || std::exchange(m_refusesLargest, true)) {
+            return;
+        }
+        // The session whose bytes were added is in the middle of a call.
+        boost::asio::post(m_context, [self = shared_from_this()] { self->refuseLargest(); });
+    }
+
+    bool isReceiveTight() const override { return isOverReceiveLimit(m_settings.maxTotalReceiveBytes / 2); }
+
     void endSession(std::uint64_t connection) override
     {
         m_sessions.erase(connection);
@@ -180,6 +194,27 @@
         }
     }
 
+    bool isOverReceiveLimit(std::size_t limit) const
+    {
+        return m_settings.maxTotalReceiveBytes != 0 && m_receiveBytes > static_cast<std::ptrdiff_t>(limit);
+    }
+
+    /// A request that the owner has is never taken back, so only those that are still read can make room.
+    void refuseLargest()
+    {
+        m_refusesLargest = false;
+        while (!m_stopped && isOverReceiveLimit(m_settings.maxTotalReceiveBytes)) {
+            const auto sizeOf = [](const auto& entry) { return entry.second->isReading() ? entry.second->receiveBytes() : 0; };
+            const auto largest = std::max_element(m_sessions.begin(), m_sessions.end(),
+                [&sizeOf](const auto& a, const auto& b) { return sizeOf(a) < sizeOf(b); });
+            if (largest == m_sessions.end() || sizeOf(*largest) <= smallRequestBytes) {
+                return;
+            }
+            const auto session = largest->second;
+            session->refuseForMemory();
+        }
+    }
+
     void notifyIfDrained()
     {
         if (!m_draining || !m_sessions.empty() || !m_handlers.onDrained) {
@@ -216,7 +251,9 @@
     bool m_announcesClosing = false;
     bool m_stopped = false;
     bool m_closesSlowest = false; ///< closeSlowest() is posted
+    bool m_refusesLargest = false; ///< refuseLargest() is posted
     std::ptrdiff_t m_sendBytes = 0; ///< waiting on all connections
+    std::ptrdiff_t m_receiveBytes = 0; ///< held of requests on all connections
     std::uint64_t m_lastConnection = 0;
     std::uint64_t m_lastExchange = 0;
     std::unordered_map<std::uint64_t, std::shared_ptr<http_session>> m_sessions;
--- a/libs/net/src/http_session.cpp
+++ b/libs/net/src/http_session.cpp
@@ -21,6 +21,8 @@
 namespace {
 
     constexpr std::size_t readBytes = 16U << 10U;
+    constexpr std::size_t tightReadBytes = 1U << 10U;
+    constexpr std::size_t maxKeptBufferBytes = 4U << 10U; ///< capacity that a buffer keeps between two requests
     constexpr std::size_t maxEarlyBytes = 64U << 10U; ///< kept of what comes while a request is answered
     constexpr std::chrono::milliseconds lingerTime { 1'000 };
 
@@ -71,7 +73,8 @@
     if (m_readPending || m_closed) {
         return;
     }
-    if (m_phase == phase::Answering && m_parser->buffer.size() >= maxEarlyBytes) {
+    const auto earlyBytes = m_owner->isReceiveTight() ? tightReadBytes : maxEarlyBytes;
+    if (m_phase == phase::Answering && m_parser->buffer.size() >= earlyBytes) {
         return;
     }
     m_readPending = true;
@@ -93,7 +96,8 @@
 {
     std::array<char, readBytes> bytes;
     boost::system::error_code problem;
-    const auto count = m_socket.read_some(boost::asio::buffer(bytes), problem);
+    const auto most = m_owner->isReceiveTight() ? tightReadBytes : readBytes;
+    const auto count = m_socket.read_some(boost::asio::buffer(bytes.data(), most), problem);
     if (problem && problem != boost::asio::error::would_block) {
         onReadEnd();
         return;
@@ -119,6 +123,7 @@
             buffer.prepare(bytes.size()), boost::asio::const_buffer(bytes.data(), bytes.size()));
         buffer.commit(copied);
         parse();
+        updateReceiveBytes();
     }
     read();
 }
@@ -149,6 +154,11 @@
     const auto used = parser.put(m_parser->buffer.data(), problem);
     m_parser->buffer.consume(used);
     if (problem == http::error::need_more) {
+        // The parser bounds heads and bodies. What it leaves is the start of a chunk's size line or of the trailers.
+        if (m_parser->buffer.size() > m_owner->settings().maxHeaderBytes) {
+            refuse(431, "headers_too_large", "a chunk's size line or the trailers are larger than the listener allows");
+            return false;
+        }
         continueIfExpected();
         return false;
     }
@@ -205,6 +215,7 @@
         request.headers.emplace_back(lowerCase(field.name_string()), std::string(field.value()));
     }
     request.body = std::move(message.body());
+    m_bodyBytes = request.body.size();
     m_phase = phase::Answering;
     m_deadline.clear();
     m_exchange = m_owner->beginExchange(m_connection);
@@ -212,13 +223,48 @@
     m_owner->deliver(std::move(request));
 }
 
-void http_session::refuse(std::uint32_t status, const std::string& code, const std::string& detail)
+void http_session::refuse(
+    std::uint32_t status, const std::string& code, const std::string& detail, const header_list& headers)
 {
     ++m_owner->tally().badRequests;
     m_phase = phase::Answering;
     m_parser->keepAlive = false;
     m_parser->buffer.clear();
-    reply(makeProblem(status, code, detail));
+    m_parser->buffer.shrink_to_fit();
+    m_parser->parser.emplace();
+    updateReceiveBytes();
+    auto problem = makeProblem(status, code, detail);
+    problem.headers = headers;
+    reply(problem);
+}
+
+void http_session::refuseForMemory()
+{
+    ++m_owner->tally().refusedForMemory;
+    refuse(503, "overloaded", "the requests of all callers together are too large", { { "Retry-After", "1" } });
+    read();
+}
+
+void http_session::updateReceiveBytes()
+{
+    const bool isRead = !m_closed && m_phase == phase::Reading;
+    const auto partial = isRead && m_parser->parser->is_header_done() ? m_parser->parser->get().body().size() : 0;
+    const auto held = m_closed ? 0 : m_parser->buffer.capacity() + partial + m_bodyBytes;
+    const auto before = std::exchange(m_receiveBytes, held);
+    m_owner->addReceiveBytes(static_cast<std::ptrdiff_t>(held) - static_cast<std::ptrdiff_t>(before));
+}
+
+/// Gives back what a large request or answer needed, since a connection may stay idle for long.
+void http_session::releaseBuffers()
+{
+    m_bodyBytes = 0;
+    m_parser->buffer.shrink_to_fit();
+    for (auto* text : { &m_queued, &m_sending }) {
+        if (text->empty() && text->capacity() > maxKeptBufferBytes) {
+            *text = std::string();
+        }
+    }
+    updateReceiveBytes();
 }
 
 //------------------------------------------------------------------------------------------------------------------
@@ -389,6 +435,7 @@
     m_headRequest = false;
     m_bodyLeft = -1;
     m_parser->continued = false;
+    releaseBuffers();
     auto& parser = m_parser->parser.emplace();
     parser.eager(true);
     parser.header_limit(static_cast<std::uint32_t>(m_owner->settings().maxHeaderBytes));
@@ -551,6 +598,7 @@
     m_socket.close(ignored);
     m_deadline.clear();
     m_owner->addSendBytes(-static_cast<std::ptrdiff_t>(sendBufferBytes()));
+    updateReceiveBytes();
     m_queued.clear();
     m_sending.clear();
     m_sent = 0;
--- a/libs/net/src/http_session.hpp
+++ b/libs/net/src/http_session.hpp
@@ -40,6 +40,12 @@
     /// Adds to what waits on all connections.
     virtual void addSendBytes(std::ptrdiff_t count) = 0;
 
+    /// Adds to what all connections hold of requests.
+    virtual void addReceiveBytes(std::ptrdiff_t count) = 0;
+
+    /// @return whether little room is left for requests, so that connections should read in small pieces.
+    [[nodiscard]] virtual bool isReceiveTight() const = 0;
+
     /// The answer can't be given any more.
     virtual void loseExchange(std::uint64_t exchange, const std::string& reason) = 0;
     virtual void endSession(std::uint64_t connection) = 0;
@@ -73,6 +79,13 @@
     [[nodiscard]] const std::string& tag() const { return m_tag; }
     [[nodiscard]] std::size_t sendBufferBytes() const { return m_queued.size() + m_sending.size() - m_sent; }
 
+    /// @return what the connection holds of the request under way and of those that follow it.
+    [[nodiscard]] std::size_t receiveBytes() const { return m_receiveBytes; }
+    [[nodiscard]] bool isReading() const { return m_phase == phase::Reading; }
+
+    /// Refuses the request that is being read because all requests together are too large.
+    void refuseForMemory();
+
     /// Closes now if no request is under way or partly read. Else closes after the next answer whose head can say so, or
     /// after the drain time if no request follows.
     void closeAfterAnswer();
@@ -102,7 +115,9 @@
     void continueIfExpected();
     void dispatch();
     void refuseBroken(const boost::system::error_code& problem);
-    void refuse(std::uint32_t status, const std::string& code, const std::string& detail);
+    void refuse(std::uint32_t status, const std::string& code, const std::string& detail, const header_list& headers = {});
+    void updateReceiveBytes();
+    void releaseBuffers();
 
     bool decideKeepAlive();
     void finishAnswer();
@@ -132,6 +147,8 @@
     std::string m_queued;
     std::string m_sending;
     std::size_t m_sent = 0; ///< of m_sending
+    std::size_t m_bodyBytes = 0; ///< of the request that the owner has
+    std::size_t m_receiveBytes = 0; ///< as last told to the owner
     bool m_readPending = false;
     bool m_writePending = false;
     bool m_parsing = false;
