--- a/libs/core/include/core/controller/controller.hpp
+++ b/libs/core/include/core/controller/controller.hpp
@@ -16,6 +16,7 @@
 #include <core/effect.hpp>
 #include <core/event.hpp>
 #include <core/identity.hpp>
+#include <core/limits/load_board.hpp>
 #include <core/limits/rate_authority.hpp>
 #include <core/limits/server_limit_authority.hpp>
 #include <core/manifest/manifest.hpp>
@@ -135,6 +136,15 @@
     std::uint64_t badRequests = 0;
 };
 
+/// Changes with the engines whose load the gateways share.
+struct engines_version {
+    std::uint64_t membership = 0; ///< revision of the announced servers
+    std::uint64_t routes = 0; ///< version of the route table
+    std::set<std::string> evacuatedDomains;
+
+    friend bool operator==(const engines_version&, const engines_version&) = default;
+};
+
 /// Made with the settings filled in. Then process_started, one replica_loaded for each group, and ticks.
 struct controller_state {
     controller_settings settings;
@@ -145,6 +155,8 @@
     std::optional<wire::route_table> routes; ///< control.routes, decoded
     membership members;
     limits::server_limit_authority requestLimits; ///< while leading group 0
+    limits::load_board loads; ///< while leading group 0
+    engines_version enginesVersion; ///< of the engines that `loads` knows
     std::map<std::string, std::string> peerRoles; ///< of connected processes, by name
     bool isReady = false;
     bool isStandby = false; ///< hosts no group
--- a/libs/core/include/core/controller/controller_settings.hpp
+++ b/libs/core/include/core/controller/controller_settings.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,7 @@
     std::chrono::milliseconds configLease { 2'000 }; ///< for how long a gateway serves after its last poll
     std::chrono::milliseconds announceLease { 2'000 }; ///< a backend server not announced for so long is gone
     std::chrono::milliseconds turnTimeout { 900'000 }; ///< a turn under way for so long is taken as lost
+    std::set<std::string> failureDomains; ///< that exist; empty: those of the backend servers that are announced
     bool exitsOnStorageFailure = false; ///< where a supervisor starts the process again; else the replica only stops
     std::chrono::milliseconds shutdownLimit { 3'000 }; ///< for handing over leaderships
 };
--- a/libs/core/include/core/event.hpp
+++ b/libs/core/include/core/event.hpp
@@ -228,8 +228,9 @@
     std::vector<prompt_part> parts; ///< of the prompt, in order
     std::string lastEvent; ///< the caller resumes a stream behind this event's id
     std::string resumedAttempt; ///< the request that received the first event of the resumed stream; empty: not said
+    std::string affinityKey; ///< names the object that the request concerns; empty: none
     MSGPACK_DEFINE(exchange, attempt, method, target, host, headers, body, key, timeLeft, programContext, model, promptTokens,
-        maxOutputTokens, parts, lastEvent, resumedAttempt)
+        maxOutputTokens, parts, lastEvent, resumedAttempt, affinityKey)
 };
 
 /// The head of a backend server's answer to a forward_upstream effect. Then upstream_data, and upstream_finished or
@@ -274,7 +275,8 @@
     wire::backend_record backend; ///< without a sidecar
     std::uint64_t sequence = 0; ///< rises with each announcement of an incarnation; 0: not said
     bool isLeaving = false;
-    MSGPACK_DEFINE(exchange, backend, sequence, isLeaving)
+    std::chrono::milliseconds coldFor { 0 }; ///< how much longer it stays cold
+    MSGPACK_DEFINE(exchange, backend, sequence, isLeaving, coldFor)
 };
 
 /// A backend server says that it ends.
@@ -305,6 +307,14 @@
     MSGPACK_DEFINE(exchange, vm, isStart)
 };
 
+/// An operator wants a failure domain taken out of use, or back into use.
+struct evacuation_request {
+    exchange_id exchange = 0;
+    std::string domain;
+    bool isStart = false; ///< else takes the domain back into use
+    MSGPACK_DEFINE(exchange, domain, isStart)
+};
+
 /// After close_listeners: the last connection of a caller or operator has closed, with every answer sent.
 struct listeners_drained {
     bool unused = false; ///< a coded struct needs a field
@@ -328,7 +338,7 @@
     caller_gone, operator_request, dump_requested, upstream_response, upstream_data, upstream_finished, upstream_failed,
     replica_loaded, log_persisted, storage_failed, shutdown_requested, forward_request, upstream_head,
     server_announcement, server_departure, routes_submission, routes_query, retirement_request, listeners_drained,
-    server_checked, caller_blocked, caller_unblocked>;
+    server_checked, caller_blocked, caller_unblocked, evacuation_request>;
 
 } // namespace cuminledge::core
 
--- a/libs/core/include/core/forward/forward_call.hpp
+++ b/libs/core/include/core/forward/forward_call.hpp
@@ -16,11 +16,12 @@
     Confirm, ///< waits until the controllers confirm the configuration, from which it would be refused or resumed
     Rate, ///< waits for a rate token of its account
     Prepare, ///< waits for its budget reservation or the earlier turns
+    Room, ///< waits until an engine has room
     Run, ///< sent to a backend server
     Retain ///< answered, but the turn is not durable yet
 };
 
-/// @return "confirm", "rate", "prepare", "run" or "retain".
+/// @return "confirm", "rate", "prepare", "room", "run" or "retain".
 const char* toString(call_step step);
 
 /// The part of the answer received so far.
@@ -33,6 +34,9 @@
     bool hasBegun = false; ///< the head has been sent to the caller
     event_splitter events;
     std::string lastEvent; ///< id of the last event forwarded
+    time_point firstEventAt {}; ///< of this server
+    time_point lastEventAt {};
+    std::int64_t serverEvents = 0; ///< events of this server
     std::int64_t eventCount = 0; ///< events forwarded
     std::string output; ///< data of all forwarded events, each followed by a line feed
 };
@@ -83,6 +87,9 @@
     std::uint64_t serverIncarnation = 0; ///< of that server at the time of the send
     std::string upstream; ///< id of the upstream request; empty: none under way
     std::set<std::string> triedServers; ///< servers that the request was sent to
+    bool startsProgram = false; ///< no request of its program was sent to a server through this gateway before
+    time_point roomAwaitedAt {}; ///< in step Room: since when
+    time_point sentAt {}; ///< of the last send to a server
     std::uint32_t sends = 0;
     std::uint32_t possibleRuns = 0; ///< sends that may have run
     answer_progress answer;
--- a/libs/core/include/core/forward/forwarder.hpp
+++ b/libs/core/include/core/forward/forwarder.hpp
@@ -17,6 +17,7 @@
 #include <core/forward/forward_call.hpp>
 #include <core/forward/forwarder_settings.hpp>
 #include <core/forward/program_memory.hpp>
+#include <core/forward/room_queue.hpp>
 #include <core/forward/server_table.hpp>
 #include <core/forward/turn_cache.hpp>
 #include <core/identity.hpp>
@@ -64,11 +65,24 @@
     std::uint64_t resumed = 0; ///< streams resumed on another server
     std::uint64_t chainsCached = 0;
     std::uint64_t chainsRead = 0;
+    std::uint64_t roomWaits = 0; ///< calls that waited until an engine had room
+    std::uint64_t programsOverloaded = 0; ///< new programs refused because no engine would have had room in time
     std::uint64_t chainsHeld = 0; ///< kept longer in their group for a turn under way
     std::uint64_t expired = 0;
     std::uint64_t strayMessages = 0;
 };
 
+/// What this gateway knows of the load of engines, and which calls wait until one has room.
+struct engine_room {
+    std::map<std::string, double> loads; ///< by service: requests under way or waiting at all gateways, divided by what engines run at once
+    time_point toldAt {}; ///< when the controllers last said so
+    std::map<std::string, room_queue> queues; ///< by service
+    std::uint64_t lastSequence = 0;
+    bool hasChanged = false; ///< an engine may have room since the queues were last looked at
+    std::map<std::pair<std::string, std::string>, double> prefixRequests; ///< since the last poll, by service and prefix
+    std::set<std::string> measured; ///< servers whose time was measured since the last poll
+};
+
 /// State of the reducer. Construct it with identity and settings filled in, then pass process_started and further events.
 struct forwarder_state {
     process_identity identity;
@@ -79,6 +93,7 @@
     server_table servers;
     crash_tracker crashes;
     std::map<std::string, demand_meter> demand; ///< by service
+    engine_room room;
     turn_cache turns;
     std::unordered_map<exchange_id, forward_call> calls;
     std::set<std::pair<time_point, exchange_id>> expiries; ///< of all calls
--- a/libs/core/include/core/forward/forwarder_settings.hpp
+++ b/libs/core/include/core/forward/forwarder_settings.hpp
@@ -8,6 +8,7 @@
 #include <base/json.hpp>
 #include <core/controller_client/controller_client.hpp>
 #include <core/forward/request_allowance.hpp>
+#include <core/forward/room_queue.hpp>
 
 namespace cuminledge::core::forward {
 
@@ -27,6 +28,12 @@
     std::size_t cacheBytes = 24U << 20U; ///< capacity of the turn cache
     allowance_settings allowances; ///< of servers that limit their requests
     std::size_t maxAnswerBytes = 24U << 20U; ///< kept of the answers of all calls together
+    std::uint32_t shareLoadsFrom = 0; ///< gateways from which on they tell one another of their requests at engines; 0: never
+    std::chrono::milliseconds loadReportInterval { 150 }; ///< between polls where loads are shared
+    std::chrono::milliseconds maxLoadsAge { 1'000 }; ///< older reports are not used
+    double fullLoad = 0.95; ///< of a service's engines; from it on, requests wait here for an engine that has room
+    bool learnsServerTimes = false; ///< servers at which requests last longer get fewer
+    room_queue_settings roomQueue;
     std::size_t maxCalls = 4'000; ///< concurrent calls; further requests are refused
 };
 
--- a/libs/core/include/core/forward/server_table.hpp
+++ b/libs/core/include/core/forward/server_table.hpp
@@ -14,7 +14,9 @@
 
 #include <base/clock.hpp>
 #include <core/event.hpp>
+#include <core/forward/prefix_placement.hpp>
 #include <core/forward/request_allowance.hpp>
+#include <core/forward/server_times.hpp>
 #include <wire/control_messages.hpp>
 
 /// The backend servers known to a forwarding gateway, and how it chooses among them.
@@ -40,6 +42,9 @@
     time_point avoidUntil {}; ///< after a failure: other servers are preferred until then
     prompt_cache_estimate promptCache;
     request_allowance allowance;
+    measured_time time; ///< of requests at the server
+    std::uint32_t othersInFlight = 0; ///< requests of the other gateways under way, as the controllers last said
+    std::uint32_t sentSinceReport = 0; ///< requests that this gateway has sent since then
 };
 
 /// Parameters of the cost estimate. All costs are in milliseconds so that they can be added.
@@ -56,6 +61,14 @@
     std::chrono::milliseconds limitRefreshInterval { 1'000 };
     double limitRefreshMs = 1'000; ///< by which such a server is preferred
     std::int64_t defaultCacheTokens = 400'000; ///< used for an engine whose cache size is not configured
+    /// The other gateways react to the same report, so that for each request that this one has sent to a server since then
+    /// it expects so many from the others.
+    double expectedFromOthers = 2;
+    std::uint32_t queuedRequests = 1; ///< that a full engine holds beyond those that it runs, so that it never idles
+    double sharedOtherDomainMs = 3; ///< as otherDomainMs, where the load of all servers is known
+    double sharedJitterMs = 12; ///< as much as two requests, so that not all gateways choose the same server
+    double affinityMs = 10; ///< by which the server is preferred that an object's requests go to
+    bool learnsTimes = false; ///< servers at which requests last longer cost as much more
     std::chrono::milliseconds avoidTime { 500 }; ///< after a failure; doubles with each consecutive one
     std::chrono::milliseconds maxAvoidTime { 4'000 };
 };
@@ -75,6 +88,11 @@
     choice_settings settings;
     std::string failureDomain; ///< of this gateway
     std::uint32_t gatewayCount = 0; ///< that send to these servers; 0: not known
+    std::set<std::string> evacuatedDomains; ///< their servers get no request
+    time_settings timeSettings;
+    std::map<std::string, service_times> times; ///< by service
+    prefix_settings prefixSettings;
+    std::map<std::string, prefix_homes> prefixes; ///< by service
     std::map<std::string, server_entry> servers; ///< by id
     /// Starts that have said in an answer that they end soon. Kept apart from the entries, which a server that misses its
     /// announcements for a while loses.
@@ -90,6 +108,11 @@
     const std::vector<prompt_part>* parts = nullptr;
     const std::string* softwareVersion = nullptr; ///< null: any. An empty version is unknown, and no server has it
     const std::set<std::string>* excluded = nullptr; ///< servers that this request was sent to
+    const std::string* affinityKey = nullptr; ///< of the object that the request concerns; null or empty: none
+    bool knowsLoad = false; ///< the requests of the other gateways at the service's engines are known
+    bool needsRoom = false; ///< a full engine is not used, nor one that does not keep the first part of the prompt
+    double occupancyMs = 0; ///< how long a request is under way at an engine; 0: not known
+    const std::set<std::string>* homes = nullptr; ///< engines that keep the first part of the prompt; null: not known
 };
 
 /// Applies a membership update from the controllers.
@@ -100,6 +123,13 @@
 std::optional<std::string> chooseServer(
     const server_table& table, const server_requirements& requirements, time_point now, std::mt19937_64& random);
 
+/// @return whether any server may take the request, if each had room.
+bool hasEligibleServer(const server_table& table, const server_requirements& requirements, time_point now);
+
+/// Records how long a request lasted at the server.
+/// @param weight of the sample among the later ones, from 0 to 1.
+void recordServerTime(server_table& table, const std::string& server, double milliseconds, double weight, time_point now);
+
 /// Records that the server has said in an answer that it ends soon; it gets no request any more.
 /// @return whether this was not known.
 bool recordLeaving(server_table& table, const server_start& start);
@@ -116,7 +146,9 @@
 void recordPromptRead(server_table& table, const std::string& server, const std::string& model,
     const std::vector<prompt_part>& parts, std::int64_t capacity);
 
+/// @param isHome the engine keeps the first part, whoever has sent it there.
 /// @return estimated tokens of the prompt that the engine does not have cached.
-std::int64_t uncachedTokens(const prompt_cache_estimate& cache, const std::string& model, const std::vector<prompt_part>& parts);
+std::int64_t uncachedTokens(const prompt_cache_estimate& cache, const std::string& model, const std::vector<prompt_part>& parts,
+    bool isHome = false);
 
 } // namespace cuminledge::core::forward
--- a/libs/core/include/core/limits/server_limit_authority.hpp
+++ b/libs/core/include/core/limits/server_limit_authority.hpp
@@ -18,6 +18,9 @@
  * answers with an upper bound of requests for each of them. A token bucket for each server backs the bounds, so that their
  * sum stays within the limit however the demand is spread.
  *
+ * A server that has just started may take fewer requests for a while; it says so when it announces itself, and its limit is
+ * divided in the same way.
+ *
  * The state is in the leader's memory. A new leader starts with empty buckets and learns the limits from the polls.
  */
 namespace cuminledge::core::limits {
@@ -33,7 +36,8 @@
 /// A backend server that limits the requests it takes.
 struct limited_server {
     std::uint64_t incarnation = 0;
-    double requestsPerSecond = 0;
+    double requestsPerSecond = 0; ///< as stated in an answer
+    double coldRequestsPerSecond = 0; ///< while the server is cold; 0: it is not
     bool isLimited = false; ///< false: kept for a while, so that older reports do not bring the limit back
     time_point observedAt {}; ///< time of the answer that stated the limit, or no limit any more
     time_point reportedAt {}; ///< time of the last report by any gateway
@@ -65,6 +69,11 @@
 std::vector<wire::server_allowance> grantAllowances(server_limit_authority& authority, const std::string& gateway,
     const std::vector<wire::server_limit_report>& reports, time_point now, std::mt19937_64& random);
 
+/// Limits the requests to a server that is cold, whatever its answers state.
+/// @param requestsPerSecond over all gateways; 0: the server is not cold any more.
+void setColdLimit(server_limit_authority& authority, const std::string& server, std::uint64_t incarnation,
+    double requestsPerSecond, time_point now);
+
 /// @return the number of gateways that poll; 0 while a new leader does not know all of them.
 std::uint32_t countGateways(const server_limit_authority& authority, time_point now);
 
--- a/libs/core/include/core/routing/backend_table.hpp
+++ b/libs/core/include/core/routing/backend_table.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -56,6 +57,7 @@
     std::uint64_t incarnation = 0;
     std::vector<std::string> models;
     std::int64_t cacheTokens = 0;
+    std::string failureDomain;
     std::deque<own_attempt> unreportedAttempts; ///< sent by this gateway and not yet in any load report; oldest first
 };
 
@@ -101,6 +103,7 @@
     std::unordered_map<std::string, backend_index> byId;
     std::unordered_map<std::string, std::vector<domain_members>> byModel;
     std::map<std::string, std::uint16_t> locationNumbers; ///< number of each failure domain and region
+    std::set<std::string> evacuatedDomains; ///< failure domains whose servers get no new work
     std::uint64_t decisions = 0;
     std::uint64_t decisionsWithoutBackend = 0;
     std::uint64_t ejectionCount = 0;
--- a/libs/core/include/core/store/control_state.hpp
+++ b/libs/core/include/core/store/control_state.hpp
@@ -27,6 +27,7 @@
 /// before from one that was not accepted.
 constexpr std::size_t maxManifestHistory = 256;
 constexpr std::size_t maxDrains = 20'000;
+constexpr std::size_t maxEvacuatedDomains = 1'000;
 /// Maximum number of fencing numbers kept. Beyond it, the one granted first is removed; new numbers are still higher.
 constexpr std::size_t maxOrderers = 50'000;
 /// Maximum number of suspect and quarantined fingerprints. Beyond it, the oldest suspect is removed; without a suspect,
@@ -77,6 +78,7 @@
     change_index keyChanges;
     std::size_t withdrawnKeys = 0; ///< derived, not encoded
     std::set<std::string> drains; ///< backend servers that must not get new work
+    std::set<std::string> evacuatedDomains; ///< failure domains whose backend servers must not get new work
     std::uint64_t lastFencingNumber = 0;
     std::map<std::string, orderer> orderers; ///< by backend server
     std::map<std::string, crash_record> crashes; ///< by fingerprint
--- a/libs/core/src/controller/config.cpp
+++ b/libs/core/src/controller/config.cpp
@@ -156,6 +156,9 @@
     addMembership(r, builder, poll);
     builder.update.allowances = limits::grantAllowances(r.state.requestLimits, peer, poll.limitReports, r.now, r.random);
     builder.update.gatewayCount = limits::countGateways(r.state.requestLimits, r.now);
+    const auto& evacuated = r.state.control.evacuatedDomains;
+    builder.update.evacuatedDomains.assign(evacuated.begin(), evacuated.end());
+    exchangeLoads(r, peer, poll, builder.update);
     builder.update.lease = builder.isPartial ? std::chrono::milliseconds(0) : r.state.settings.configLease;
     r.out.emplace_back(send_message { peer, std::move(builder.update) });
 }
--- a/libs/core/src/controller/control_calls.cpp
+++ b/libs/core/src/controller/control_calls.cpp
@@ -1,5 +1,6 @@
 #include <controller/internal.hpp>
 
+#include <algorithm>
 #include <utility>
 
 #include <core/consensus/consensus.hpp>
@@ -124,6 +125,30 @@
     r.out.emplace_back(std::move(reply));
 }
 
+bool isFailureDomain(const controller_state& state, const std::string& domain)
+{
+    const auto& backends = state.members.backends;
+    return state.settings.failureDomains.contains(domain) || state.control.evacuatedDomains.contains(domain)
+        || std::any_of(backends.begin(), backends.end(),
+            [&domain](const auto& entry) { return entry.second.record.failureDomain == domain; });
+}
+
+void receiveEvacuation(reduction& r, const evacuation_request& request)
+{
+    auto* group = servingGroup(r, request.exchange);
+    if (group == nullptr) {
+        return;
+    }
+    if (!isFailureDomain(r.state, request.domain)) {
+        r.out.emplace_back(refusal(request.exchange, control_outcome::NotFound, "no such failure domain"));
+        return;
+    }
+    const wire::evacuate_domain command { request.domain, request.isStart };
+    if (const auto proposed = propose(r, *group, command, control_origin { request.exchange }); !proposed) {
+        r.out.emplace_back(refusal(request.exchange, control_outcome::Unavailable, proposed.error().message));
+    }
+}
+
 void receiveRetirement(reduction& r, const retirement_request& request)
 {
     if (servingGroup(r, request.exchange) == nullptr) {
--- a/libs/core/src/controller/controller.cpp
+++ b/libs/core/src/controller/controller.cpp
@@ -218,6 +218,11 @@
         receiveRetirement(r, request);
     }
 
+    void handle(reduction& r, const evacuation_request& request)
+    {
+        receiveEvacuation(r, request);
+    }
+
     void handle(reduction& r, const dump_requested& request)
     {
         replyWithDump(r, request.exchange);
--- a/libs/core/src/controller/controller_settings.cpp
+++ b/libs/core/src/controller/controller_settings.cpp
@@ -12,6 +12,7 @@
     constexpr std::size_t maxControllers = 31;
     constexpr std::size_t maxAddressBytes = 256;
     constexpr std::int64_t maxGroups = 1024;
+    constexpr std::size_t maxFailureDomains = 1000;
     constexpr std::int64_t maxToleratedLosses = 10;
     /// Five voters where there are as many: one of them may be down for planned work when another is lost.
     constexpr std::int64_t defaultToleratedLosses = 2;
@@ -67,6 +68,10 @@
         settings.consensus.admitsOthers = true;
         settings.consensus.voters = static_cast<std::size_t>(2 * std::max(toleratedLosses, defaultToleratedLosses) + 1);
     }
+    if (reader.has("failure_domains")) {
+        const auto domains = reader.strings("failure_domains", maxFailureDomains, maxAddressBytes);
+        settings.failureDomains.insert(domains.begin(), domains.end());
+    }
     settings.exitsOnStorageFailure = reader.boolean("exit_on_storage_failure", settings.exitsOnStorageFailure);
     settings.shutdownLimit
         = reader.milliseconds("shutdown_limit_ms", milliseconds(0), milliseconds(60'000), settings.shutdownLimit);
--- a/libs/core/src/controller/duties.cpp
+++ b/libs/core/src/controller/duties.cpp
@@ -67,6 +67,8 @@
             log(r, log_level::Info, "key_issued", { { "key", issued->key }, { "account", issued->account } });
         } else if (const auto* drained = std::get_if<wire::drain_backend>(&command)) {
             noteDrain(r, drained->backend);
+        } else if (const auto* evacuated = std::get_if<wire::evacuate_domain>(&command)) {
+            log(r, log_level::Info, evacuated->evacuated ? "domain_evacuated" : "domain_taken_back", { { "domain", evacuated->domain } });
         } else if (const auto* registered = std::get_if<wire::register_orderer>(&command)) {
             r.state.members.registrations.erase({ registered->backend, registered->incarnation });
         }
--- a/libs/core/src/controller/internal.hpp
+++ b/libs/core/src/controller/internal.hpp
@@ -126,6 +126,11 @@
 void submitRoutes(reduction& r, const routes_submission& submission);
 void showRoutes(reduction& r, const routes_query& query);
 void receiveRetirement(reduction& r, const retirement_request& request);
+void receiveEvacuation(reduction& r, const evacuation_request& request);
+
+/// @return whether the settings name the failure domain, or a backend server has announced itself there.
+bool isFailureDomain(const controller_state& state, const std::string& domain);
+
 void answerControl(reduction& r, const control_origin& origin, const wire::command_result& outcome);
 void redirectControl(reduction& r, exchange_id exchange);
 
@@ -136,6 +141,9 @@
 /// Takes a valid announcement of a server without a sidecar; a late or doubled one changes nothing.
 void takeServer(reduction& r, const server_announcement& announcement);
 
+/// Takes what the gateway has under way at engines, and tells it what the others have.
+void exchangeLoads(reduction& r, const std::string& gateway, const wire::config_poll& poll, wire::config_update& update);
+
 /// A change of what is known of a server is committed.
 void noteServer(reduction& r, const wire::note_server& change);
 /// A server leaves; a later incarnation of it stays.
--- a/libs/core/src/controller/membership.cpp
+++ b/libs/core/src/controller/membership.cpp
@@ -1,5 +1,6 @@
 #include <controller/internal.hpp>
 
+#include <algorithm>
 #include <utility>
 
 #include <core/consensus/consensus.hpp>
@@ -117,6 +118,23 @@
         }
     }
 
+    /// Cold servers crash where they get much more than they state, so that they are granted a little less.
+    void limitColdServer(reduction& r, const wire::backend_record& record)
+    {
+        constexpr double coldShare = 0.8;
+        if (!r.state.routes) {
+            return;
+        }
+        const auto& services = r.state.routes->services;
+        const auto service = std::find_if(services.begin(), services.end(),
+            [&record](const wire::service_rule& each) { return each.name == record.service; });
+        if (service == services.end() || service->coldRequestsPerSecond <= 0) {
+            return;
+        }
+        const double limit = record.isCold ? service->coldRequestsPerSecond * coldShare : 0;
+        limits::setColdLimit(r.state.requestLimits, record.backend, record.incarnation, limit, r.now);
+    }
+
     /// @return whether the announcement is older than what is known of the server.
     bool isOutdated(const announced_backend& known, const server_announcement& announcement)
     {
@@ -170,6 +188,7 @@
             auto& entry = r.state.members.backends.at(id);
             entry.isLeaving = record.withdrawn;
             entry.leaseEnd = r.now + r.state.settings.announceLease;
+            limitColdServer(r, record);
         }
     }
 
@@ -181,6 +200,8 @@
     r.state.members.epoch = epoch;
     r.state.requestLimits = {};
     r.state.requestLimits.startedAt = r.now;
+    r.state.loads = {};
+    r.state.enginesVersion = {};
     // A sidecar needs up to a lease to notice that the old leader is gone, and again to find the new one.
     r.state.members.completeAt = r.now + 2 * r.state.settings.announceLease;
     takeOverServers(r);
@@ -238,6 +259,7 @@
     const bool wasDraining = isSameStart && known->second.record.draining;
     record.withdrawn = hasLeft;
     record.draining = record.draining || wasDraining || r.state.control.drains.contains(record.backend);
+    limitColdServer(r, record);
     if (!isNew && isSame(known->second.record, record)) {
         known->second.sequence = announcement.sequence;
         known->second.leaseEnd = r.now + r.state.settings.announceLease;
--- a/libs/core/src/controller/methods.cpp
+++ b/libs/core/src/controller/methods.cpp
@@ -281,6 +281,21 @@
     proposeForOperator(r, request, wire::drain_backend { backend, draining });
 }
 
+void evacuateDomain(reduction& r, const operator_request& request, const Json::Value& parameters)
+{
+    parameter_reader reader(r, request, parameters);
+    const auto domain = reader.id("domain");
+    const auto evacuated = reader.boolean("evacuated", true);
+    if (!reader.finish()) {
+        return;
+    }
+    if (!isFailureDomain(r.state, domain)) {
+        replyError(r, request.exchange, error_code::NotFound, "no backend server is announced in such a failure domain");
+        return;
+    }
+    proposeForOperator(r, request, wire::evacuate_domain { domain, evacuated });
+}
+
 //------------------------------------------------------------------------------------------------------------------
 // Quarantine and status
 //------------------------------------------------------------------------------------------------------------------
@@ -328,6 +343,10 @@
     Json::Value body;
     body["controller"] = r.self.name;
     body["manifest_number"] = static_cast<Json::UInt64>(r.state.control.manifestNumber);
+    body["evacuated_domains"] = Json::arrayValue;
+    for (const auto& domain : r.state.control.evacuatedDomains) {
+        body["evacuated_domains"].append(domain);
+    }
     body["groups"] = describeGroups(r.state, r.now);
     replyOk(r, request.exchange, body);
 }
--- a/libs/core/src/controller/operators.cpp
+++ b/libs/core/src/controller/operators.cpp
@@ -179,6 +179,7 @@
         { "call.show", false, showCall },
         { "backend.list", true, listBackends },
         { "backend.drain", true, drainBackend },
+        { "domain.evacuate", true, evacuateDomain },
         { "quarantine.list", true, listQuarantine },
         { "quarantine.lift", true, liftQuarantine },
         { "status", false, showStatus },
--- a/libs/core/src/controller/operators.hpp
+++ b/libs/core/src/controller/operators.hpp
@@ -31,6 +31,7 @@
 void showProgram(reduction& r, const operator_request& request, const Json::Value& parameters);
 void showCall(reduction& r, const operator_request& request, const Json::Value& parameters);
 void listBackends(reduction& r, const operator_request& request, const Json::Value& parameters);
+void evacuateDomain(reduction& r, const operator_request& request, const Json::Value& parameters);
 void drainBackend(reduction& r, const operator_request& request, const Json::Value& parameters);
 void listQuarantine(reduction& r, const operator_request& request, const Json::Value& parameters);
 void liftQuarantine(reduction& r, const operator_request& request, const Json::Value& parameters);
--- a/libs/core/src/forward/admission.cpp
+++ b/libs/core/src/forward/admission.cpp
@@ -89,6 +89,14 @@
         return false;
     }
 
+    /// @return whether the call neither continues a turn nor belongs to a program that was active here lately.
+    bool startsProgram(const context& c, const forward_call& call)
+    {
+        const auto& place = call.request.programContext;
+        const bool isFirst = call.route.isStream && place.previousTurn.empty();
+        return place.program.empty() || (isFirst && !isActive(c.state.programs, place.program, c.now));
+    }
+
     /// Refuses the call for a reason that ends its program, which must hold in the newest configuration: a route or key may
     /// be missing here which other gateways serve already.
     void failIfConfirmed(context& c, forward_call& call, const refusal& reason)
@@ -135,6 +143,7 @@
             return;
         }
         setFingerprint(call);
+        call.startsProgram = startsProgram(c, call);
         if (!mayRun(c.state.crashes, call.fingerprint)) {
             failQuarantined(c, call);
             return;
--- a/libs/core/src/forward/answers.cpp
+++ b/libs/core/src/forward/answers.cpp
@@ -7,6 +7,7 @@
 #include "answer_memory.hpp"
 #include "attempts.hpp"
 #include "crashes.hpp"
+#include "engine_room.hpp"
 #include "rate.hpp"
 #include "server_answer.hpp"
 #include "turns.hpp"
@@ -63,6 +64,7 @@
 void removeCall(context& c, forward_call& call)
 {
     removeFromRateQueue(c, call);
+    leaveRoomQueue(c, call);
     stopUpstream(c, call, false);
     settleBudget(c, call);
     for (const auto request : { call.reserveRequest, call.chainRequest, call.holdRequest, call.retainRequest, call.originRequest, call.originRecord.request }) {
--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -6,6 +6,7 @@
 #include "answers.hpp"
 #include "configuration.hpp"
 #include "crashes.hpp"
+#include "engine_room.hpp"
 #include "server_limits.hpp"
 #include "stream_origin.hpp"
 
@@ -31,6 +32,8 @@
         if (!call.origin.service.empty()) {
             requirements.softwareVersion = &call.origin.softwareVersion;
         }
+        requirements.affinityKey = call.route.isSticky ? &call.request.affinityKey : nullptr;
+        describeLoad(c, call, requirements);
         return requirements;
     }
 
@@ -45,9 +48,8 @@
 
     /// Before its first event, a stream prefers the software version that is recorded for it, since another would have to
     /// be recorded first.
-    std::optional<std::string> selectServer(context& c, const forward_call& call)
+    std::optional<std::string> selectServer(context& c, const forward_call& call, server_requirements requirements)
     {
-        auto requirements = describeRequirements(c, call);
         const auto& recorded = call.originRecord.softwareVersion;
         if (requirements.softwareVersion == nullptr && !recorded.empty()) {
             requirements.softwareVersion = &recorded;
@@ -59,8 +61,26 @@
         return chooseServer(c.state.servers, requirements, c.now, c.random);
     }
 
+    bool isAvoided(const context& c, const std::string& server)
+    {
+        return c.now < c.state.servers.servers.at(server).avoidUntil;
+    }
+
+    /// Room at a server that has just failed is worth less than a wait elsewhere.
+    std::optional<std::string> selectServerWithRoom(context& c, const forward_call& call, server_requirements requirements)
+    {
+        auto server = selectServer(c, call, requirements);
+        if (server && requirements.needsRoom && isAvoided(c, *server)) {
+            requirements.needsRoom = false;
+            server = selectServer(c, call, requirements);
+        }
+        return server;
+    }
+
     void send(context& c, forward_call& call, const server_entry& server)
     {
+        recordAdmission(c.state.programs, call.request.programContext.program, c.now);
+        call.sentAt = c.now;
         call.server = server.record.backend;
         call.serverAddress = server.record.address;
         call.softwareVersion = server.record.softwareVersion;
@@ -111,6 +131,7 @@
         call.answer.hasHead = false;
         call.answer.body.clear();
         call.answer.events = {};
+        call.answer.serverEvents = 0;
         recordHeldBytes(c, call);
     }
 
@@ -150,8 +171,17 @@
         std::uniform_real_distribution<double> draw(0, 1);
         call.service = drawService(call.route, draw(c.random));
     }
-    recordDemand(c, call.service);
-    const auto server = selectServer(c, call);
+    if (call.step != call_step::Room) {
+        recordDemand(c, call.service);
+        recordPrefixDemand(c, call);
+    }
+    const auto requirements = describeRequirements(c, call);
+    const auto server = selectServerWithRoom(c, call, requirements);
+    if (!server && requirements.needsRoom && hasEligibleServer(c.state.servers, requirements, c.now)) {
+        awaitRoom(c, call);
+        return;
+    }
+    stopAwaitingRoom(c, call);
     if (!server) {
         const auto version = call.origin.service.empty() ? "" : " at version " + call.origin.softwareVersion;
         const refusal none { error_code::Unavailable, "no server of " + call.service + version + " may take the request",
@@ -185,6 +215,7 @@
 {
     c.state.callByUpstream.erase(call.upstream);
     recordRequestEnded(c.state.servers, call.server, hasFailed, c.now);
+    c.state.room.hasChanged = true;
     call.upstream.clear();
 }
 
--- a/libs/core/src/forward/configuration.cpp
+++ b/libs/core/src/forward/configuration.cpp
@@ -6,6 +6,7 @@
 #include "answers.hpp"
 #include "attempts.hpp"
 #include "crashes.hpp"
+#include "engine_room.hpp"
 #include "lifecycle.hpp"
 #include "server_limits.hpp"
 
@@ -38,6 +39,20 @@
                 { "accounts", std::to_string(configuration.table.accounts.size()) } } });
     }
 
+    void applyEvacuations(context& c, const wire::config_update& update)
+    {
+        const std::set<std::string> domains(update.evacuatedDomains.begin(), update.evacuatedDomains.end());
+        if (domains == c.state.servers.evacuatedDomains) {
+            return;
+        }
+        std::string names;
+        for (const auto& domain : domains) {
+            names += (names.empty() ? "" : ",") + domain;
+        }
+        c.out.emplace_back(write_log { log_level::Info, "domains_evacuated", { { "domains", names } } });
+        c.state.servers.evacuatedDomains = domains;
+    }
+
     void logServers(context& c, const std::vector<wire::backend_record>& records)
     {
         for (const auto& record : records) {
@@ -116,7 +131,11 @@
 {
     const auto& state = c.state;
     const bool isComplete = state.configuration.table.version != 0 && !state.servers.servers.empty();
-    return isComplete ? state.settings.configPollInterval : state.settings.firstPollInterval;
+    if (!isComplete) {
+        return state.settings.firstPollInterval;
+    }
+    return state.room.loads.empty() ? state.settings.configPollInterval
+                                    : std::min(state.settings.loadReportInterval, state.settings.configPollInterval);
 }
 
 void pollConfiguration(context& c)
@@ -131,6 +150,7 @@
     poll.membershipVersion = configuration.membershipVersion;
     poll.quarantineRevision = c.state.crashes.quarantine.revision;
     poll.limitReports = makeLimitReports(c);
+    reportLoads(c, poll);
     controller_client::pollConfiguration(
         c.state.controllers, c.state.configuration.poll, poll, pollInterval(c), c.now, c.out);
 }
@@ -147,8 +167,10 @@
     applyRoutes(c, update);
     logServers(c, update.backends);
     applyMembership(c.state.servers, update.backends, update.membershipComplete);
+    applyEvacuations(c, update);
     applyCrashRecords(c, update);
     applyAllowances(c, update, sentAt);
+    applyLoads(c, update);
     configuration.membershipEpoch = update.membershipEpoch;
     configuration.membershipVersion = update.membershipVersion;
     updateReadiness(c);
--- a/libs/core/src/forward/context.cpp
+++ b/libs/core/src/forward/context.cpp
@@ -15,6 +15,8 @@
         return "rate";
     case call_step::Prepare:
         return "prepare";
+    case call_step::Room:
+        return "room";
     case call_step::Run:
         return "run";
     case call_step::Retain:
--- a/libs/core/src/forward/dump.cpp
+++ b/libs/core/src/forward/dump.cpp
@@ -19,6 +19,8 @@
             server["draining"] = entry.record.draining;
             server["gone"] = entry.isGone;
             server["in_flight"] = entry.inFlight;
+            server["others_in_flight"] = entry.othersInFlight;
+            server["request_ms"] = entry.time.milliseconds;
             server["failures"] = entry.failures;
             server["avoided"] = c.now < entry.avoidUntil;
             server["requests_per_s"] = entry.allowance.isLimited ? Json::Value(entry.allowance.requestsPerSecond) : Json::Value();
@@ -28,6 +30,25 @@
         return servers;
     }
 
+    Json::Value describeServices(const context& c)
+    {
+        Json::Value services(Json::arrayValue);
+        for (const auto& [name, times] : c.state.servers.times) {
+            Json::Value service(Json::objectValue);
+            service["service"] = name;
+            service["request_ms"] = times.request.milliseconds;
+            service["stream_events"] = times.events.milliseconds;
+            const auto load = c.state.room.loads.find(name);
+            service["load"] = load == c.state.room.loads.end() ? Json::Value() : Json::Value(load->second);
+            const auto queue = c.state.room.queues.find(name);
+            const bool isKnown = queue != c.state.room.queues.end();
+            service["waiting"] = Json::UInt64(isKnown ? queue->second.calls.size() : 0);
+            service["wait_ms"] = isKnown ? queue->second.wait.milliseconds : 0;
+            services.append(service);
+        }
+        return services;
+    }
+
     Json::Value describeCrashes(const context& c)
     {
         Json::Value crashes(Json::objectValue);
@@ -79,6 +100,8 @@
         value["not_run"] = Json::UInt64(counters.notRun);
         value["lost"] = Json::UInt64(counters.lost);
         value["resumed"] = Json::UInt64(counters.resumed);
+        value["room_waits"] = Json::UInt64(counters.roomWaits);
+        value["programs_overloaded"] = Json::UInt64(counters.programsOverloaded);
         value["chains_cached"] = Json::UInt64(counters.chainsCached);
         value["chains_read"] = Json::UInt64(counters.chainsRead);
         value["chains_held"] = Json::UInt64(counters.chainsHeld);
@@ -100,6 +123,11 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(c.now - state.configuration.confirmedAt).count());
     dump["cached_turn_bytes"] = Json::UInt64(state.turns.bytes);
     dump["held_answer_bytes"] = Json::UInt64(state.heldAnswerBytes);
+    dump["services"] = describeServices(c);
+    dump["evacuated_domains"] = Json::arrayValue;
+    for (const auto& domain : state.servers.evacuatedDomains) {
+        dump["evacuated_domains"].append(domain);
+    }
     dump["servers"] = describeServers(c);
     dump["crashes"] = describeCrashes(c);
     dump["calls"] = describeCalls(c);
--- a/libs/core/src/forward/forwarder.cpp
+++ b/libs/core/src/forward/forwarder.cpp
@@ -7,6 +7,7 @@
 #include "context.hpp"
 #include "crashes.hpp"
 #include "dump.hpp"
+#include "engine_room.hpp"
 #include "lifecycle.hpp"
 #include "rate.hpp"
 #include "server_answer.hpp"
@@ -51,6 +52,7 @@
         state.controllers.controllers = state.settings.controllers;
         state.rate = limits::makeLeaseHolder(started.incarnation);
         state.servers.failureDomain = state.identity.failureDomain;
+        state.servers.settings.learnsTimes = state.settings.learnsServerTimes;
         state.turns.maxBytes = state.settings.cacheBytes;
         controller_client::start(state.controllers, c.out);
     }
@@ -65,6 +67,7 @@
         checkCrashes(c);
         retryRate(c);
         continueShutdown(c);
+        c.state.room.hasChanged = true; // a server may be tried again that had failed
     }
 
     void onPeerLost(context& c, const std::string& peer, const std::string& reason)
@@ -112,6 +115,7 @@
 {
     context c { state, now, random, out };
     std::visit(event_visitor { c }, e);
+    serveRoomQueues(c);
     // Any event may have spent rate tokens.
     sendRateRequests(c);
 }
--- a/libs/core/src/forward/forwarder_settings.cpp
+++ b/libs/core/src/forward/forwarder_settings.cpp
@@ -24,6 +24,11 @@
         reader.integer("cache_bytes", 0, 1 << 30, static_cast<std::int64_t>(settings.cacheBytes)));
     settings.maxAnswerBytes = static_cast<std::size_t>(
         reader.integer("answer_bytes", 1 << 20, 1 << 30, static_cast<std::int64_t>(settings.maxAnswerBytes)));
+    constexpr std::int64_t maxGateways = 1'000'000;
+    settings.shareLoadsFrom = static_cast<std::uint32_t>(reader.integer("share_loads_from", 0, maxGateways, settings.shareLoadsFrom));
+    span("load_report_interval_ms", milliseconds(20), settings.loadReportInterval);
+    settings.learnsServerTimes = reader.boolean("learn_server_times", settings.learnsServerTimes);
+    settings.roomQueue.maxFirstWait = reader.number("max_first_wait", 0, 1000, settings.roomQueue.maxFirstWait);
     settings.maxCalls = static_cast<std::size_t>(
         reader.integer("max_calls", 1, 1'000'000, static_cast<std::int64_t>(settings.maxCalls)));
     return settings;
--- a/libs/core/src/forward/rate.cpp
+++ b/libs/core/src/forward/rate.cpp
@@ -15,14 +15,6 @@
     constexpr std::chrono::milliseconds minRetryDelay { 20 };
     constexpr std::chrono::milliseconds maxRetryDelay { 100 };
 
-    /// @return whether the call starts a new program: it neither continues a turn nor belongs to an active program.
-    bool startsProgram(const context& c, const forward_call& call)
-    {
-        const auto& place = call.request.programContext;
-        const bool isFirst = call.route.isStream && place.previousTurn.empty();
-        return place.program.empty() || (isFirst && !isActive(c.state.programs, place.program, c.now));
-    }
-
     void refuse(context& c, forward_call& call, std::chrono::milliseconds retryAfter)
     {
         failCall(c, call,
@@ -35,7 +27,7 @@
     {
         const auto pause = std::clamp(retryAfter, minRetryDelay, maxRetryDelay);
         const auto waitLimit = std::min<duration>(c.state.settings.rateWaitLimit, (call.expiresAt - call.arrived) / 3);
-        if (startsProgram(c, call) || c.now + pause > call.arrived + waitLimit) {
+        if (call.startsProgram || c.now + pause > call.arrived + waitLimit) {
             refuse(c, call, retryAfter);
             return;
         }
@@ -45,12 +37,6 @@
         c.state.rateRetries.insert({ call.rateRetryAt, call.exchange });
     }
 
-    void onAdmitted(context& c, forward_call& call)
-    {
-        recordAdmission(c.state.programs, call.request.programContext.program, c.now);
-        prepare(c, call);
-    }
-
     void send(context& c, const std::vector<wire::rate_lease_request>& requests)
     {
         controller_client::sendRateRequests(c.state.controllers, requests, c.state.configuration.groupCount, c.out);
@@ -68,7 +54,7 @@
 
 void requestRate(context& c, forward_call& call)
 {
-    if (limits::isRateExhausted(c.state.rate, call.account, c.now) && startsProgram(c, call)) {
+    if (limits::isRateExhausted(c.state.rate, call.account, c.now) && call.startsProgram) {
         ++c.state.counters.newProgramsRefused;
         refuse(c, call, c.state.rate.settings.exhaustionPeriod);
         return;
@@ -76,7 +62,7 @@
     const auto spent = limits::trySpend(c.state.rate, call.account, c.now);
     switch (spent.decision) {
     case limits::spend_decision::Admitted:
-        onAdmitted(c, call);
+        prepare(c, call);
         return;
     case limits::spend_decision::Waiting:
         call.step = call_step::Rate;
@@ -119,7 +105,7 @@
     const auto outcome = limits::onRateGrant(c.state.rate, grant, c.now);
     for (std::int64_t i = 0; i < outcome.admitted; ++i) {
         if (auto* call = takeWaiting(c, grant.account)) {
-            onAdmitted(c, *call);
+            prepare(c, *call);
         }
     }
     for (std::int64_t i = 0; i < outcome.refused; ++i) {
--- a/libs/core/src/forward/server_answer.cpp
+++ b/libs/core/src/forward/server_answer.cpp
@@ -10,6 +10,7 @@
 #include "answers.hpp"
 #include "attempts.hpp"
 #include "crashes.hpp"
+#include "engine_room.hpp"
 #include "server_limits.hpp"
 #include "stream_checks.hpp"
 #include "stream_origin.hpp"
@@ -42,6 +43,9 @@
             beginAnswer(c, call, -1);
         }
         ++answer.eventCount;
+        answer.firstEventAt = answer.serverEvents == 0 ? c.now : answer.firstEventAt;
+        answer.lastEventAt = c.now;
+        ++answer.serverEvents;
         if (call.origin.service.empty()) {
             call.origin = { call.service, call.softwareVersion };
         }
@@ -198,6 +202,7 @@
         return;
     }
     clearSuspicion(c, *call);
+    measureServer(c, *call);
     if (!isEventStream(*call) && call->hasCaller) {
         if (!call->answer.hasBegun) {
             call->answer.length = static_cast<std::int64_t>(call->answer.body.size());
--- a/libs/core/src/forward/server_limits.cpp
+++ b/libs/core/src/forward/server_limits.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <core/forward/match_route.hpp>
+
 namespace cuminledge::core::forward {
 
 namespace {
@@ -65,13 +67,28 @@
         return allowance.isLimited || (allowance.hasBeenLimited && c.now - allowance.observedAt < endReportTime);
     }
 
+    /// A server that has turned cold gets nothing until the controllers grant a part of its limit.
+    void limitColdServers(context& c)
+    {
+        for (auto& [id, server] : c.state.servers.servers) {
+            const auto* service = findService(c.state.configuration.table, server.record.service);
+            const bool isCold = server.record.isCold && service != nullptr && service->coldRequestsPerSecond > 0;
+            if (isCold && !server.allowance.isLimited) {
+                changeLimit(c, server, "announcement", [&](request_allowance& allowance) {
+                    observeLimit(allowance, service->coldRequestsPerSecond, c.now, division(c));
+                });
+            }
+        }
+    }
+
 } // namespace
 
 void noteStatedLimit(context& c, const forward_call& call, const upstream_head& head)
 {
     auto* server = findStart(c, call.server, call.serverIncarnation);
     const bool isUnreadable = head.statesLimit && head.requestsPerSecond < 0;
-    if (server == nullptr || isUnreadable) {
+    const bool isColdLimit = server != nullptr && server->record.isCold && !head.statesLimit;
+    if (server == nullptr || isUnreadable || isColdLimit) {
         return;
     }
     changeLimit(c, *server, "answer", [&](request_allowance& allowance) {
@@ -116,6 +133,7 @@
     if (isCoordinated) {
         c.state.servers.gatewayCount = update.gatewayCount;
     }
+    limitColdServers(c);
     std::set<std::string> granted;
     for (const auto& grant : update.allowances) {
         granted.insert(grant.server);
--- a/libs/core/src/forward/server_table.cpp
+++ b/libs/core/src/forward/server_table.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <core/routing/rendezvous.hpp>
+
 namespace cuminledge::core::forward {
 
 namespace {
@@ -41,6 +43,7 @@
             entry.failures = 0;
             entry.avoidUntil = {};
             entry.allowance = {};
+            entry.time = {};
         }
         entry.record = record;
         entry.isGone = false;
@@ -73,7 +76,83 @@
         const auto& record = entry.record;
         const bool isExcluded = requirements.excluded != nullptr && requirements.excluded->contains(record.backend);
         return record.service == requirements.service && hasVersion(record, requirements.softwareVersion) && !entry.isGone
-            && !record.draining && !isLeaving(table, record) && !isExcluded && maySend(entry.allowance, now);
+            && !record.draining && !isLeaving(table, record) && !isExcluded && maySend(entry.allowance, now)
+            && !table.evacuatedDomains.contains(record.failureDomain);
+    }
+
+    /// @return how many requests are expected at an engine whose load the gateways share.
+    double expectedRequests(const choice_settings& settings, const server_entry& entry)
+    {
+        return entry.inFlight + entry.othersInFlight + settings.expectedFromOthers * entry.sentSinceReport;
+    }
+
+    bool hasRoom(const choice_settings& settings, const server_entry& entry, const server_requirements& requirements)
+    {
+        const auto most = requirements.slots + settings.queuedRequests;
+        const bool isRead = requirements.homes == nullptr || requirements.homes->contains(entry.record.backend);
+        return !requirements.needsRoom || (isRead && entry.inFlight + entry.othersInFlight < most);
+    }
+
+    /// Requests beyond those that the engine runs at once wait for one of them to end.
+    double sharedLoadCostMs(const choice_settings& settings, const server_entry& entry, const server_requirements& requirements)
+    {
+        const double requests = expectedRequests(settings, entry);
+        const double excess = std::max(requests + 1 - requirements.slots, 0.0);
+        return requests * settings.engineRequestMs + excess * requirements.occupancyMs / std::max<std::uint32_t>(requirements.slots, 1);
+    }
+
+    double ownLoadCostMs(const choice_settings& settings, const server_entry& entry, const server_requirements& requirements)
+    {
+        double cost = entry.inFlight * (requirements.isEngine ? settings.engineRequestMs : settings.serviceRequestMs);
+        if (requirements.slots != 0 && entry.inFlight >= requirements.slots) {
+            cost += settings.excessRequestMs * (entry.inFlight - requirements.slots + 1);
+        }
+        return cost;
+    }
+
+    /// @return how many requests wait while the engine reads the prompt of this one.
+    double delayedRequests(const choice_settings& settings, const server_entry& entry, const server_requirements& requirements)
+    {
+        if (!requirements.knowsLoad) {
+            return 1;
+        }
+        return 1 + std::min(expectedRequests(settings, entry), static_cast<double>(requirements.slots));
+    }
+
+    bool isHome(const server_entry& entry, const server_requirements& requirements)
+    {
+        return requirements.homes != nullptr && requirements.homes->contains(entry.record.backend);
+    }
+
+    double timeCostMs(const server_table& table, const server_entry& entry, time_point now)
+    {
+        const auto times = table.times.find(entry.record.service);
+        if (!table.settings.learnsTimes || times == table.times.end()) {
+            return 0;
+        }
+        const double mean = times->second.request.milliseconds;
+        return std::max(expectedMs(entry.time, mean, table.timeSettings, now) - mean * table.timeSettings.usualFactor, 0.0);
+    }
+
+    /// @return the server of the object among the eligible ones; none if the request concerns no object.
+    const server_entry* serverOfObject(const server_table& table, const server_requirements& requirements, time_point now)
+    {
+        if (requirements.affinityKey == nullptr || requirements.affinityKey->empty()) {
+            return nullptr;
+        }
+        const server_entry* best = nullptr;
+        std::uint64_t highest = 0;
+        for (const auto& [id, entry] : table.servers) {
+            if (!isEligible(table, entry, requirements, now)) {
+                continue;
+            }
+            const auto score = routing::rendezvousScore(*requirements.affinityKey, id);
+            if (best == nullptr || score > highest) {
+                best = &entry;
+                highest = score;
+            }
+        }
+        return best;
     }
 
     /// Estimates how full the servers are that do not limit their requests. The other gateways are taken to have as many
@@ -110,20 +189,20 @@
         double limitedCostMs, time_point now)
     {
         const auto& settings = table.settings;
-        double cost = entry.inFlight * (requirements.isEngine ? settings.engineRequestMs : settings.serviceRequestMs);
-        if (requirements.slots != 0 && entry.inFlight >= requirements.slots) {
-            cost += settings.excessRequestMs * (entry.inFlight - requirements.slots + 1);
-        }
+        double cost = requirements.knowsLoad ? sharedLoadCostMs(settings, entry, requirements)
+                                             : ownLoadCostMs(settings, entry, requirements);
         if (entry.allowance.isLimited) {
             const bool isStale = now - entry.allowance.observedAt >= settings.limitRefreshInterval;
             cost += isStale ? -settings.limitRefreshMs : limitedCostMs;
         }
         if (entry.record.failureDomain != table.failureDomain) {
-            cost += settings.otherDomainMs;
+            cost += requirements.knowsLoad ? settings.sharedOtherDomainMs : settings.otherDomainMs;
         }
         if (requirements.isEngine && requirements.parts != nullptr) {
-            cost += static_cast<double>(uncachedTokens(entry.promptCache, requirements.model, *requirements.parts)) / settings.promptTokensPerMs;
+            const auto uncached = uncachedTokens(entry.promptCache, requirements.model, *requirements.parts, isHome(entry, requirements));
+            cost += static_cast<double>(uncached) / settings.promptTokensPerMs * delayedRequests(settings, entry, requirements);
         }
+        cost += timeCostMs(table, entry, now);
         return cost;
     }
 
@@ -158,17 +237,19 @@
     const server_table& table, const server_requirements& requirements, time_point now, std::mt19937_64& random)
 {
     // Random jitter spreads requests over equal servers, so that not all gateways choose the same one.
-    std::uniform_real_distribution<double> jitter(0, 1);
+    std::uniform_real_distribution<double> jitter(0, requirements.knowsLoad ? table.settings.sharedJitterMs : 1);
     const double limitedCostMs = limitedServerCostMs(table, requirements, now);
+    const auto* ofObject = serverOfObject(table, requirements, now);
     const server_entry* best = nullptr;
     bool isBestAvoided = false;
     double bestCost = 0;
     for (const auto& [id, entry] : table.servers) {
-        if (!isEligible(table, entry, requirements, now)) {
+        if (!isEligible(table, entry, requirements, now) || !hasRoom(table.settings, entry, requirements)) {
             continue;
         }
         const bool isAvoided = now < entry.avoidUntil;
-        const double cost = estimateCostMs(table, entry, requirements, limitedCostMs, now) + jitter(random);
+        double cost = estimateCostMs(table, entry, requirements, limitedCostMs, now) + jitter(random);
+        cost -= &entry == ofObject ? table.settings.affinityMs : 0;
         const bool isBetter = best == nullptr || (isBestAvoided && !isAvoided)
             || (isBestAvoided == isAvoided && cost < bestCost);
         if (isBetter) {
@@ -183,6 +264,22 @@
     return best->record.backend;
 }
 
+bool hasEligibleServer(const server_table& table, const server_requirements& requirements, time_point now)
+{
+    return std::any_of(table.servers.begin(), table.servers.end(),
+        [&](const auto& entry) { return isEligible(table, entry.second, requirements, now); });
+}
+
+void recordServerTime(server_table& table, const std::string& server, double milliseconds, double weight, time_point now)
+{
+    const auto found = table.servers.find(server);
+    if (found == table.servers.end()) {
+        return;
+    }
+    addSample(found->second.time, milliseconds, weight, now);
+    addSample(table.times[found->second.record.service].request, milliseconds, table.timeSettings.serviceWeight, now);
+}
+
 bool recordLeaving(server_table& table, const server_start& start)
 {
     constexpr std::size_t maxLeaving = 10'000;
@@ -197,6 +294,7 @@
     const auto found = table.servers.find(server);
     if (found != table.servers.end()) {
         ++found->second.inFlight;
+        ++found->second.sentSinceReport;
     }
 }
 
@@ -239,11 +337,16 @@
     }
 }
 
-std::int64_t uncachedTokens(const prompt_cache_estimate& cache, const std::string& model, const std::vector<prompt_part>& parts)
+std::int64_t uncachedTokens(
+    const prompt_cache_estimate& cache, const std::string& model, const std::vector<prompt_part>& parts, bool isHome)
 {
     std::int64_t missing = 0;
     bool isPrefixCached = true;
     for (const auto& part : parts) {
+        const bool isKept = isHome && &part == &parts.front();
+        if (isKept) {
+            continue;
+        }
         const auto found = isPrefixCached ? cache.parts.find(keyOf(model, part.id)) : cache.parts.end();
         if (found == cache.parts.end()) {
             isPrefixCached = false;
--- a/libs/core/src/gateway/configuration.cpp
+++ b/libs/core/src/gateway/configuration.cpp
@@ -92,6 +92,8 @@
 
     void applyMembership(gateway_context& context, const wire::config_update& update)
     {
+        auto& evacuated = context.state.routingTable.evacuatedDomains;
+        evacuated = { update.evacuatedDomains.begin(), update.evacuatedDomains.end() };
         routing::applyMembership(context.state.routingTable, update.backends, update.membershipComplete, context.now);
         std::set<std::string> present;
         for (const auto& record : update.backends) {
--- a/libs/core/src/limits/server_limit_authority.cpp
+++ b/libs/core/src/limits/server_limit_authority.cpp
@@ -9,9 +9,34 @@
 
     using seconds = std::chrono::duration<double>;
 
+    bool hasLimit(const limited_server& server)
+    {
+        return server.isLimited || server.coldRequestsPerSecond > 0;
+    }
+
+    /// @return the lower of the server's limits, in requests a second.
+    double limitOf(const limited_server& server)
+    {
+        const bool isCold = server.coldRequestsPerSecond > 0;
+        if (isCold && server.isLimited) {
+            return std::min(server.coldRequestsPerSecond, server.requestsPerSecond);
+        }
+        return isCold ? server.coldRequestsPerSecond : server.requestsPerSecond;
+    }
+
     double rateOf(const server_limit_authority& authority, const limited_server& server)
     {
-        return std::max(server.requestsPerSecond, authority.settings.minRequestsPerSecond);
+        return std::max(limitOf(server), authority.settings.minRequestsPerSecond);
+    }
+
+    void restart(limited_server& server, std::uint64_t incarnation, time_point now)
+    {
+        server.incarnation = incarnation;
+        server.coldRequestsPerSecond = 0;
+        server.isLimited = false;
+        server.shares.clear();
+        server.tokens = 0;
+        server.refilledAt = now;
     }
 
     void refill(const server_limit_authority& authority, limited_server& server, time_point now)
@@ -31,12 +56,9 @@
 
     void observe(limited_server& server, const wire::server_limit_report& report, time_point now)
     {
-        if (report.incarnation != server.incarnation || !server.isLimited) {
-            server.shares.clear();
-            server.tokens = 0;
-            server.refilledAt = now;
+        if (report.incarnation != server.incarnation || !hasLimit(server)) {
+            restart(server, report.incarnation, now);
         }
-        server.incarnation = report.incarnation;
         server.isLimited = report.isLimited;
         server.requestsPerSecond = report.requestsPerSecond;
         server.observedAt = now - report.observedAge;
@@ -91,7 +113,7 @@
             observe(server, report, now);
         }
         server.reportedAt = now;
-        if (!server.isLimited || server.incarnation != report.incarnation) {
+        if (!hasLimit(server) || server.incarnation != report.incarnation) {
             return;
         }
         const bool isNewShare = !server.shares.contains(gateway);
@@ -128,17 +150,33 @@
     }
     std::vector<wire::server_allowance> allowances;
     for (const auto& [id, server] : authority.servers) {
-        if (!server.isLimited) {
+        if (!hasLimit(server)) {
             continue;
         }
         const auto share = server.shares.find(gateway);
         const auto maxSent = share == server.shares.end() ? 0 : share->second.maxSent;
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - server.observedAt);
-        allowances.push_back({ id, server.incarnation, server.requestsPerSecond, age, maxSent });
+        allowances.push_back({ id, server.incarnation, limitOf(server), age, maxSent });
     }
     return allowances;
 }
 
+void setColdLimit(server_limit_authority& authority, const std::string& server, std::uint64_t incarnation,
+    double requestsPerSecond, time_point now)
+{
+    const bool isNew = !authority.servers.contains(server);
+    if (isNew && requestsPerSecond <= 0) {
+        return;
+    }
+    auto& limited = authority.servers[server];
+    if (isNew || limited.incarnation != incarnation || !hasLimit(limited)) {
+        restart(limited, incarnation, now);
+        limited.observedAt = now;
+    }
+    limited.coldRequestsPerSecond = std::max(requestsPerSecond, 0.0);
+    limited.reportedAt = now;
+}
+
 std::uint32_t countGateways(const server_limit_authority& authority, time_point now)
 {
     const bool isWarm = now - authority.startedAt >= authority.settings.warmUpTime;
--- a/libs/core/src/routing/backend_table.cpp
+++ b/libs/core/src/routing/backend_table.cpp
@@ -110,6 +110,7 @@
         detail.incarnation = record.incarnation;
         detail.models = record.models;
         detail.cacheTokens = record.cacheTokens;
+        detail.failureDomain = record.failureDomain;
         addToIndex(table, index);
     }
 
--- a/libs/core/src/routing/choose_backend.cpp
+++ b/libs/core/src/routing/choose_backend.cpp
@@ -18,7 +18,8 @@
     bool isUsable(const backend_table& table, const route_request& request, backend_index index)
     {
         const auto& row = table.rows[index];
-        if (!row.inUse || row.draining) {
+        const bool isEvacuated = table.evacuatedDomains.contains(table.details[index].failureDomain);
+        if (!row.inUse || row.draining || isEvacuated) {
             return false;
         }
         const auto& backend = table.details[index].backend;
--- a/libs/core/src/store/control_snapshot.cpp
+++ b/libs/core/src/store/control_snapshot.cpp
@@ -53,8 +53,13 @@
         MSGPACK_DEFINE(server)
     };
 
+    struct evacuation_entry {
+        std::string domain;
+        MSGPACK_DEFINE(domain)
+    };
+
     using control_record = std::variant<control_header, key_entry, crash_entry, drain_entry, orderer, routes_entry,
-        wire::backend_record, departed_entry>;
+        wire::backend_record, departed_entry, evacuation_entry>;
 
     void restore(change_index& index, const std::string& id, std::uint64_t revision)
     {
@@ -119,6 +124,12 @@
         return {};
     }
 
+    result<void> restore(control_state& state, evacuation_entry entry)
+    {
+        state.evacuatedDomains.insert(std::move(entry.domain));
+        return {};
+    }
+
     result<void> restore(control_state& state, routes_entry entry)
     {
         state.routesVersion = entry.version;
@@ -161,6 +172,9 @@
     for (const auto& server : state.departed) {
         appendRecord(bytes, control_record(departed_entry { server }));
     }
+    for (const auto& domain : state.evacuatedDomains) {
+        appendRecord(bytes, control_record(evacuation_entry { domain }));
+    }
     if (state.routesVersion != 0) {
         appendRecord(bytes, control_record(routes_entry { state.routesVersion, state.routes, state.routesDocument }));
     }
--- a/libs/core/src/store/control_state.cpp
+++ b/libs/core/src/store/control_state.cpp
@@ -145,6 +145,22 @@
         return wire::acknowledged {};
     }
 
+    wire::command_result applyCommand(control_state& state, const wire::evacuate_domain& command)
+    {
+        if (!isId(command.domain)) {
+            return refuse(error_code::InvalidArgument, "the failure domain's name is empty or too long", "evacuate_domain");
+        }
+        if (!command.evacuated) {
+            state.evacuatedDomains.erase(command.domain);
+            return wire::acknowledged {};
+        }
+        if (state.evacuatedDomains.size() >= maxEvacuatedDomains && !state.evacuatedDomains.contains(command.domain)) {
+            return refuse(error_code::Overloaded, fmt::format("{} failure domains are evacuated", maxEvacuatedDomains), "evacuate_domain");
+        }
+        state.evacuatedDomains.insert(command.domain);
+        return wire::acknowledged {};
+    }
+
     void evictOldestOrderer(control_state& state)
     {
         const auto oldest = std::min_element(state.orderers.begin(), state.orderers.end(),
--- a/libs/wire/include/wire/commands.hpp
+++ b/libs/wire/include/wire/commands.hpp
@@ -162,6 +162,13 @@
     MSGPACK_DEFINE(backend, draining)
 };
 
+/// Takes a failure domain out of use, or back into use: its backend servers get no new work.
+struct evacuate_domain {
+    std::string domain;
+    bool evacuated = true;
+    MSGPACK_DEFINE(domain, evacuated)
+};
+
 /// Gives the sidecar incarnation that orders a backend server its fencing number, higher than every earlier one.
 struct register_orderer {
     std::string backend;
@@ -279,7 +286,7 @@
 using command = std::variant<open_program, begin_turn, commit_turn, abandon_turn, end_program, record_call,
     dispatch_call, settle_call, reserve_rate, accept_manifest, issue_key, withdraw_key, drain_backend,
     register_orderer, report_crash, clear_fingerprint, accept_routes, reserve_tokens, settle_tokens, retain_turn,
-    advance_time, note_server, record_stream, hold_chain>;
+    advance_time, note_server, record_stream, hold_chain, evacuate_domain>;
 
 //------------------------------------------------------------------------------------------------------------------
 // Reads, served by a leader that holds its lease
--- a/libs/wire/include/wire/control_messages.hpp
+++ b/libs/wire/include/wire/control_messages.hpp
@@ -57,6 +57,42 @@
     MSGPACK_DEFINE(server, incarnation, requestsPerSecond, observedAge, maxSent)
 };
 
+/// Requests that are under way at a server.
+struct server_requests {
+    std::string server;
+    std::uint32_t requests = 0;
+    MSGPACK_DEFINE(server, requests)
+};
+
+/// Requests of a service that wait at a gateway until an engine has room.
+struct waiting_requests {
+    std::string service;
+    std::uint32_t requests = 0;
+    MSGPACK_DEFINE(service, requests)
+};
+
+/// How long a typical request of its service lasts at a server.
+struct server_time {
+    std::string server;
+    std::chrono::milliseconds time { 0 };
+    MSGPACK_DEFINE(server, time)
+};
+
+/// How full the engines of a service are.
+struct service_load {
+    std::string service;
+    double utilization = 0; ///< requests under way or waiting at all gateways, divided by what the engines run at once
+    MSGPACK_DEFINE(service, utilization)
+};
+
+/// Requests whose prompts begin with a prefix.
+struct prefix_weight {
+    std::string service;
+    std::string prefix;
+    double weight = 0;
+    MSGPACK_DEFINE(service, prefix, weight)
+};
+
 struct config_poll {
     std::uint64_t request = 0;
     std::uint64_t manifestNumber = 0; ///< what the gateway holds
@@ -66,8 +102,13 @@
     std::uint64_t quarantineRevision = 0;
     std::uint64_t routesVersion = 0;
     std::vector<server_limit_report> limitReports {};
+    bool sharesLoads = false; ///< the gateway reports its requests and wants to know those of the others
+    std::vector<server_requests> serverRequests {}; ///< of the gateway, at engines
+    std::vector<waiting_requests> waitingRequests {};
+    std::vector<server_time> serverTimes {}; ///< measured since the last poll
+    std::vector<prefix_weight> prefixRequests {}; ///< since the last poll
     MSGPACK_DEFINE(request, manifestNumber, keyRevision, membershipEpoch, membershipVersion, quarantineRevision,
-        routesVersion, limitReports)
+        routesVersion, limitReports, sharesLoads, serverRequests, waitingRequests, serverTimes, prefixRequests)
 };
 
 struct key_record {
@@ -101,8 +142,9 @@
     std::string address; ///< "IP:PORT" of the server itself, where it has no sidecar
     std::string service; ///< where it has no sidecar
     std::string softwareVersion; ///< of the server's software, not of its models; empty: not known
+    bool isCold = false; ///< has started a short time ago and takes few requests
     MSGPACK_DEFINE(backend, incarnation, sidecarAddress, region, failureDomain, kind, models, batchLimit, cacheTokens,
-        draining, withdrawn, sidecar, address, service, softwareVersion)
+        draining, withdrawn, sidecar, address, service, softwareVersion, isCold)
 };
 
 struct quarantine_record {
@@ -136,9 +178,14 @@
     std::string routes; ///< coded route_table, only where the gateway's version differs
     std::vector<server_allowance> allowances; ///< one for each server known to limit its requests
     std::uint32_t gatewayCount = 0; ///< gateways that poll; 0: not known yet
+    std::vector<std::string> evacuatedDomains {}; ///< all failure domains whose servers get no new work
+    std::vector<server_requests> serverRequests {}; ///< of all other gateways, at engines; not listed: none
+    std::vector<service_load> loads {}; ///< of services with engines; empty: the gateway does not share loads
+    std::vector<prefix_weight> prefixWeights {}; ///< of all gateways; the same for all of them for a while
+    std::vector<server_time> serverTimes {}; ///< of servers that differ much from the others of their service
     MSGPACK_DEFINE(request, notLeader, leader, lease, groupCount, manifestNumber, manifest, keysComplete, keyRevision,
         keys, membershipComplete, membershipEpoch, membershipVersion, backends, quarantineComplete, quarantineRevision,
-        quarantine, routesVersion, routes, allowances, gatewayCount)
+        quarantine, routesVersion, routes, allowances, gatewayCount, evacuatedDomains, serverRequests, loads, prefixWeights, serverTimes)
 };
 
 //------------------------------------------------------------------------------------------------------------------
--- a/libs/wire/include/wire/route_table.hpp
+++ b/libs/wire/include/wire/route_table.hpp
@@ -33,8 +33,9 @@
     std::uint32_t priority = 0; ///< 0 is the highest
     std::uint32_t maxAttempts = 1; ///< backend servers that may run one request
     std::vector<weighted_service> services;
+    bool isSticky = false; ///< requests that concern the same object go to the same server where it has room
     MSGPACK_DEFINE(name, host, pathPrefix, isStream, isIdempotent, isResumable, isPublic, retainsTurns, retention,
-        timeout, latencyTarget, priority, maxAttempts, services)
+        timeout, latencyTarget, priority, maxAttempts, services, isSticky)
 };
 
 struct service_rule {
@@ -43,7 +44,8 @@
     std::uint32_t slots = 0; ///< requests that an engine runs at once; 0: a plain service
     std::int64_t cacheTokens = 0; ///< memory of an engine
     std::int64_t tokensPerEvent = 0; ///< tokens that one event of a stream stands for
-    MSGPACK_DEFINE(name, maxConnections, slots, cacheTokens, tokensPerEvent)
+    double coldRequestsPerSecond = 0; ///< that a server takes from all gateways together while it is cold; 0: no limit
+    MSGPACK_DEFINE(name, maxConnections, slots, cacheTokens, tokensPerEvent, coldRequestsPerSecond)
 };
 
 struct account_rule {
--- a/tools/cuminledgectl/src/commands.cpp
+++ b/tools/cuminledgectl/src/commands.cpp
@@ -209,6 +209,15 @@
         return names;
     }
 
+    std::string joined(const Json::Value& texts)
+    {
+        std::string all;
+        for (const auto& text : texts) {
+            all += (all.empty() ? "" : ",") + text.asString();
+        }
+        return all;
+    }
+
     Json::Value describeGroup(const Json::Value& group, const std::string& controller)
     {
         Json::Value row;
@@ -240,11 +249,13 @@
         row["address"] = address;
         row["controller"] = "";
         row["state"] = "unreachable";
+        row["evacuated_domains"] = "";
         const auto answer = c.environment.call(address, "status", "{}");
         const auto body = parseJson(answer.body, "status");
         if (answer.status == net::rpc_status::Ok && body && body->isObject()) {
             row["controller"] = (*body)["controller"];
             row["state"] = "up";
+            row["evacuated_domains"] = joined((*body)["evacuated_domains"]);
             collectGroups(*body, groups);
         }
         return row;
@@ -316,6 +327,13 @@
         return call(c, "backend.drain", parameters);
     }
 
+    int orderEvacuation(context& c, bool evacuated)
+    {
+        auto parameters = parameter("domain", c.arguments[0]);
+        parameters["evacuated"] = evacuated;
+        return call(c, "domain.evacuate", parameters);
+    }
+
     using command_function = int (*)(context&);
 
     struct command {
@@ -343,6 +361,8 @@
             { { "backend", "list" }, 0, 0, [](context& c) { return call(c, "backend.list", Json::objectValue); } },
             { { "backend", "drain" }, 1, 1, [](context& c) { return orderDrain(c, true); } },
             { { "backend", "undrain" }, 1, 1, [](context& c) { return orderDrain(c, false); } },
+            { { "domain", "evacuate" }, 1, 1, [](context& c) { return orderEvacuation(c, true); } },
+            { { "domain", "restore" }, 1, 1, [](context& c) { return orderEvacuation(c, false); } },
             { { "quarantine", "list" }, 0, 0, [](context& c) { return call(c, "quarantine.list", Json::objectValue); } },
             { { "quarantine", "lift" }, 1, 1,
                 [](context& c) { return call(c, "quarantine.lift", parameter("fingerprint", c.arguments[0])); } },
--- a/tools/cuminledgectl/src/options.cpp
+++ b/tools/cuminledgectl/src/options.cpp
@@ -20,6 +20,8 @@
   backend list                    the announced backend servers
   backend drain BACKEND           give a backend server no new work
   backend undrain BACKEND         take that back
+  domain evacuate DOMAIN          give the backend servers of a failure domain no new work
+  domain restore DOMAIN           take that back
   quarantine list                 requests suspected of crashing backend servers
   quarantine lift FINGERPRINT     let such a request run again
   status                          leaders and replicas of every group
