--- a/libs/core/include/core/forward/forward_call.hpp
+++ b/libs/core/include/core/forward/forward_call.hpp
@@ -7,6 +7,7 @@
 #include <base/clock.hpp>
 #include <core/event.hpp>
 #include <core/forward/event_splitter.hpp>
+#include <core/forward/hedging.hpp>
 #include <wire/commands.hpp>
 #include <wire/route_table.hpp>
 
@@ -86,6 +87,7 @@
     std::string softwareVersion; ///< of that server at the time of the send
     std::uint64_t serverIncarnation = 0; ///< of that server at the time of the send
     std::string upstream; ///< id of the upstream request; empty: none under way
+    forward::hedge hedge; ///< second send of an idempotent call, while both are under way
     std::set<std::string> triedServers; ///< servers that the request was sent to
     bool startsProgram = false; ///< no request of its program was sent to a server through this gateway before
     time_point roomAwaitedAt {}; ///< in step Room: since when
--- a/libs/core/include/core/forward/forwarder.hpp
+++ b/libs/core/include/core/forward/forwarder.hpp
@@ -16,6 +16,7 @@
 #include <core/forward/demand_meter.hpp>
 #include <core/forward/forward_call.hpp>
 #include <core/forward/forwarder_settings.hpp>
+#include <core/forward/hedging.hpp>
 #include <core/forward/program_memory.hpp>
 #include <core/forward/room_queue.hpp>
 #include <core/forward/server_table.hpp>
@@ -94,6 +95,7 @@
     crash_tracker crashes;
     std::map<std::string, demand_meter> demand; ///< by service
     engine_room room;
+    forward::hedging hedging;
     turn_cache turns;
     std::unordered_map<exchange_id, forward_call> calls;
     std::set<std::pair<time_point, exchange_id>> expiries; ///< of all calls
--- a/libs/core/include/core/forward/forwarder_settings.hpp
+++ b/libs/core/include/core/forward/forwarder_settings.hpp
@@ -7,6 +7,7 @@
 
 #include <base/json.hpp>
 #include <core/controller_client/controller_client.hpp>
+#include <core/forward/hedging.hpp>
 #include <core/forward/request_allowance.hpp>
 #include <core/forward/room_queue.hpp>
 
@@ -34,6 +35,7 @@
     double fullLoad = 0.95; ///< of a service's engines; from it on, requests wait here for an engine that has room
     bool learnsServerTimes = false; ///< servers at which requests last longer get fewer
     room_queue_settings roomQueue;
+    hedge_settings hedges;
     std::size_t maxCalls = 4'000; ///< concurrent calls; further requests are refused
 };
 
--- a/libs/core/include/core/forward/room_queue.hpp
+++ b/libs/core/include/core/forward/room_queue.hpp
@@ -21,7 +21,7 @@
 namespace cuminledge::core::forward {
 
 struct room_queue_settings {
-    double maxFirstWait = 0.5; ///< longest wait of a new program's first turn, as a share of its route's latency target
+    double maxFirstWait = 1; ///< longest wait of a new program's first turn, as a share of its route's latency target
     double waitWeight = 0.2; ///< of the newest wait in the average of recent ones
     std::chrono::milliseconds waitMemory { 500 }; ///< after it, half of the average of recent waits counts
 };
@@ -63,7 +63,8 @@
 /// @return how long a call of this rank would wait from now on.
 /// @param running requests of this gateway at the engines; each that ends makes room for the next.
 /// @param requestMs how long a request is under way.
+/// @param load requests under way or waiting at all gateways, divided by what the engines run at once.
 std::chrono::milliseconds predictWait(const room_queue& queue, room_rank rank, std::uint32_t running, double requestMs,
-    const room_queue_settings& settings, time_point now);
+    double load, const room_queue_settings& settings, time_point now);
 
 } // namespace cuminledge::core::forward
--- a/libs/core/include/core/forward/server_table.hpp
+++ b/libs/core/include/core/forward/server_table.hpp
@@ -111,6 +111,7 @@
     const std::string* affinityKey = nullptr; ///< of the object that the request concerns; null or empty: none
     bool knowsLoad = false; ///< the requests of the other gateways at the service's engines are known
     bool needsRoom = false; ///< a full engine is not used, nor one that does not keep the first part of the prompt
+    double load = 0; ///< requests under way or waiting at all gateways, divided by what the engines run at once
     double occupancyMs = 0; ///< how long a request is under way at an engine; 0: not known
     const std::set<std::string>* homes = nullptr; ///< engines that keep the first part of the prompt; null: not known
 };
@@ -146,9 +147,15 @@
 void recordPromptRead(server_table& table, const std::string& server, const std::string& model,
     const std::vector<prompt_part>& parts, std::int64_t capacity);
 
-/// @param isHome the engine keeps the first part, whoever has sent it there.
+/// What is known of the first part of a prompt at an engine, apart from what this gateway has sent there.
+enum class first_part : std::uint8_t {
+    Unknown,
+    Kept, ///< the engine is one of those that keep it
+    Displaced ///< other engines keep it; here it stays only while a later part of the same prompt does
+};
+
 /// @return estimated tokens of the prompt that the engine does not have cached.
 std::int64_t uncachedTokens(const prompt_cache_estimate& cache, const std::string& model, const std::vector<prompt_part>& parts,
-    bool isHome = false);
+    first_part first = first_part::Unknown);
 
 } // namespace cuminledge::core::forward
--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -7,6 +7,7 @@
 #include "configuration.hpp"
 #include "crashes.hpp"
 #include "engine_room.hpp"
+#include "hedges.hpp"
 #include "server_limits.hpp"
 #include "stream_origin.hpp"
 
@@ -94,24 +95,8 @@
         c.state.callByUpstream[call.upstream] = call.exchange;
         recordRequestSent(c.state.servers, call.server);
         recordSendToServer(c, call.server);
-        const auto& request = call.request;
-        forward_upstream effect;
-        effect.request = call.upstream;
-        effect.address = server.record.address;
-        effect.backend = server.record.backend;
-        effect.attempt = request.attempt;
-        effect.method = request.method;
-        effect.target = request.target;
-        effect.host = request.host;
-        effect.headers = request.headers;
-        effect.body = call.chain + request.body;
-        effect.account = call.account;
-        effect.timeLeft = timeLeft(c, call);
-        effect.lastEvent = call.answer.lastEvent.empty() ? request.lastEvent : call.answer.lastEvent;
-        if (!effect.lastEvent.empty()) {
-            logResumption(c, call, effect.lastEvent);
-        }
-        c.out.emplace_back(std::move(effect));
+        sendTo(c, call, server, call.upstream);
+        planHedge(c, call);
         if (call.isCallerBlocked) {
             c.out.emplace_back(pause_upstream { call.upstream });
         }
@@ -176,6 +161,9 @@
         recordPrefixDemand(c, call);
     }
     const auto requirements = describeRequirements(c, call);
+    if (refuseIfOverloaded(c, call, requirements)) {
+        return;
+    }
     const auto server = selectServerWithRoom(c, call, requirements);
     if (!server && requirements.needsRoom && hasEligibleServer(c.state.servers, requirements, c.now)) {
         awaitRoom(c, call);
@@ -195,6 +183,33 @@
     }
 }
 
+std::optional<std::string> chooseUntriedServer(context& c, const forward_call& call)
+{
+    return chooseServer(c.state.servers, describeRequirements(c, call), c.now, c.random);
+}
+
+void sendTo(context& c, const forward_call& call, const server_entry& server, const std::string& upstream)
+{
+    const auto& request = call.request;
+    forward_upstream effect;
+    effect.request = upstream;
+    effect.address = server.record.address;
+    effect.backend = server.record.backend;
+    effect.attempt = request.attempt;
+    effect.method = request.method;
+    effect.target = request.target;
+    effect.host = request.host;
+    effect.headers = request.headers;
+    effect.body = call.chain + request.body;
+    effect.account = call.account;
+    effect.timeLeft = timeLeft(c, call);
+    effect.lastEvent = call.answer.lastEvent.empty() ? request.lastEvent : call.answer.lastEvent;
+    if (!effect.lastEvent.empty()) {
+        logResumption(c, call, effect.lastEvent);
+    }
+    c.out.emplace_back(std::move(effect));
+}
+
 void resumeStream(context& c, forward_call& call)
 {
     call.step = call_step::Run;
@@ -223,6 +238,9 @@
 {
     ++c.state.counters.notRun;
     --call.possibleRuns;
+    if (continueWithHedge(c, call)) {
+        return;
+    }
     if (call.sends < maxSends && call.hasCaller) {
         logRetry(c, call, reason);
         startAttempt(c, call);
@@ -236,6 +254,9 @@
     ++c.state.counters.lost;
     logLostAnswer(c, call, reason);
     discardAnswer(c, call);
+    if (continueWithHedge(c, call)) {
+        return;
+    }
     if (canRunAgain(c, call)) {
         c.state.counters.resumed += call.answer.hasBegun ? 1 : 0;
         logRetry(c, call, reason);
@@ -252,6 +273,7 @@
 
 void stopUpstream(context& c, forward_call& call, bool hasFailed)
 {
+    cancelHedge(c, call);
     if (call.upstream.empty()) {
         return;
     }
--- a/libs/core/src/forward/attempts.hpp
+++ b/libs/core/src/forward/attempts.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <optional>
+#include <string>
+
 #include "context.hpp"
 
 /// Sends calls to backend servers, and again where an attempt has failed.
@@ -11,6 +14,12 @@
 /// Sends a begun stream on to another server of its software version, or breaks it off if there is none.
 void resumeStream(context& c, forward_call& call);
 
+/// @return a server that the call was not sent to, or none.
+std::optional<std::string> chooseUntriedServer(context& c, const forward_call& call);
+
+/// Passes the request on to the server, as the upstream request of this id.
+void sendTo(context& c, const forward_call& call, const server_entry& server, const std::string& upstream);
+
 /// @return whether the call may be sent again although it may have run already.
 bool canRunAgain(const context& c, const forward_call& call);
 
--- a/libs/core/src/forward/dump.cpp
+++ b/libs/core/src/forward/dump.cpp
@@ -123,6 +123,9 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(c.now - state.configuration.confirmedAt).count());
     dump["cached_turn_bytes"] = Json::UInt64(state.turns.bytes);
     dump["held_answer_bytes"] = Json::UInt64(state.heldAnswerBytes);
+    dump["hedges"]["sent"] = Json::UInt64(state.hedging.counters.sent);
+    dump["hedges"]["won"] = Json::UInt64(state.hedging.counters.won);
+    dump["hedges"]["without_budget"] = Json::UInt64(state.hedging.counters.withoutBudget);
     dump["services"] = describeServices(c);
     dump["evacuated_domains"] = Json::arrayValue;
     for (const auto& domain : state.servers.evacuatedDomains) {
--- a/libs/core/src/forward/engine_room.cpp
+++ b/libs/core/src/forward/engine_room.cpp
@@ -99,7 +99,7 @@
     }
 
     /// @return whether the call was refused because its program would begin too late.
-    bool refuseIfOverloaded(context& c, forward_call& call, const room_queue& queue)
+    bool refuseProgram(context& c, forward_call& call, const room_queue& queue)
     {
         const auto& settings = c.state.settings;
         const auto latencyTarget = call.route.latencyTarget;
@@ -107,7 +107,9 @@
             return false;
         }
         const auto running = runningRequests(c, call.service);
-        const auto wait = predictWait(queue, room_rank::New, running, occupancyMs(c, call.service), settings.roomQueue, c.now);
+        const auto load = c.state.room.loads.find(call.service);
+        const auto wait = predictWait(queue, room_rank::New, running, occupancyMs(c, call.service),
+            load == c.state.room.loads.end() ? 0 : load->second, settings.roomQueue, c.now);
         if (static_cast<double>(wait.count()) <= settings.roomQueue.maxFirstWait * static_cast<double>(latencyTarget.count())) {
             return false;
         }
@@ -208,15 +210,22 @@
         return;
     }
     requirements.knowsLoad = true;
+    requirements.load = load->second;
     requirements.needsRoom = load->second >= c.state.settings.fullLoad && mayWait(call);
     requirements.occupancyMs = occupancyMs(c, call.service);
     requirements.homes = homesOf(c, call);
 }
 
+bool refuseIfOverloaded(context& c, forward_call& call, const server_requirements& requirements)
+{
+    const bool isFull = requirements.knowsLoad && requirements.needsRoom && requirements.load > 1;
+    return isFull && refuseProgram(c, call, c.state.room.queues[call.service]);
+}
+
 void awaitRoom(context& c, forward_call& call)
 {
     auto& queue = c.state.room.queues[call.service];
-    if (queue.byExchange.contains(call.exchange) || refuseIfOverloaded(c, call, queue)) {
+    if (queue.byExchange.contains(call.exchange) || refuseProgram(c, call, queue)) {
         return;
     }
     call.step = call_step::Room;
--- a/libs/core/src/forward/engine_room.hpp
+++ b/libs/core/src/forward/engine_room.hpp
@@ -17,6 +17,10 @@
 /// Adds what is known of the load of the service's engines.
 void describeLoad(const context& c, const forward_call& call, server_requirements& requirements);
 
+/// Refuses the first call of a program where the engines hold so many requests that it would wait too long.
+/// @return whether it was refused; the call is gone then.
+bool refuseIfOverloaded(context& c, forward_call& call, const server_requirements& requirements);
+
 /// Holds the call until an engine has room. The first call of a program is refused instead if that would take too long, so
 /// the call may be gone afterwards.
 void awaitRoom(context& c, forward_call& call);
--- a/libs/core/src/forward/forwarder.cpp
+++ b/libs/core/src/forward/forwarder.cpp
@@ -8,6 +8,7 @@
 #include "crashes.hpp"
 #include "dump.hpp"
 #include "engine_room.hpp"
+#include "hedges.hpp"
 #include "lifecycle.hpp"
 #include "rate.hpp"
 #include "server_answer.hpp"
@@ -66,6 +67,7 @@
         expireCalls(c);
         checkCrashes(c);
         retryRate(c);
+        sendHedges(c);
         continueShutdown(c);
         c.state.room.hasChanged = true; // a server may be tried again that had failed
     }
--- a/libs/core/src/forward/forwarder_settings.cpp
+++ b/libs/core/src/forward/forwarder_settings.cpp
@@ -29,6 +29,7 @@
     span("load_report_interval_ms", milliseconds(20), settings.loadReportInterval);
     settings.learnsServerTimes = reader.boolean("learn_server_times", settings.learnsServerTimes);
     settings.roomQueue.maxFirstWait = reader.number("max_first_wait", 0, 1000, settings.roomQueue.maxFirstWait);
+    settings.hedges.share = reader.number("hedge_share", 0, 1, settings.hedges.share);
     settings.maxCalls = static_cast<std::size_t>(
         reader.integer("max_calls", 1, 1'000'000, static_cast<std::int64_t>(settings.maxCalls)));
     return settings;
--- a/libs/core/src/forward/server_answer.cpp
+++ b/libs/core/src/forward/server_answer.cpp
@@ -11,6 +11,7 @@
 #include "attempts.hpp"
 #include "crashes.hpp"
 #include "engine_room.hpp"
+#include "hedges.hpp"
 #include "server_limits.hpp"
 #include "stream_checks.hpp"
 #include "stream_origin.hpp"
@@ -146,6 +147,15 @@
     }
     // A refusal that names no request may be a copy of an earlier one on the connection.
     const bool isRefusal = head.notRun && !head.attempt.empty() && !isForOtherRequest;
+    if (isHedge(*call, head.request)) {
+        const bool isUsable = !isForOtherRequest && !head.notRun && head.isSigned && !head.isEncoded && head.status < firstServerError;
+        if (!isUsable) {
+            c.out.emplace_back(cancel_upstream { head.request });
+            loseHedge(c, *call, isRefusal);
+            return;
+        }
+        preferHedge(c, *call);
+    }
     if (isRefusal) {
         c.out.emplace_back(cancel_upstream { head.request });
         // A full server is healthy, but other servers are preferred for a while.
@@ -161,6 +171,7 @@
         retryLost(c, *call, isForOtherRequest ? "an answer to another request" : "status " + std::to_string(head.status));
         return;
     }
+    cancelHedge(c, *call);
     auto& answer = call->answer;
     answer.hasHead = true;
     if (!answer.hasBegun) {
@@ -203,6 +214,7 @@
     }
     clearSuspicion(c, *call);
     measureServer(c, *call);
+    recordAnswerTime(c, *call);
     if (!isEventStream(*call) && call->hasCaller) {
         if (!call->answer.hasBegun) {
             call->answer.length = static_cast<std::int64_t>(call->answer.body.size());
@@ -220,6 +232,10 @@
     if (call == nullptr) {
         return;
     }
+    if (isHedge(*call, failed.request)) {
+        loseHedge(c, *call, failed.phase == upstream_phase::NotSent);
+        return;
+    }
     releaseServer(c, *call, true);
     if (failed.phase == upstream_phase::NotSent) {
         retryNotRun(c, *call, failed.message);
--- a/libs/core/src/forward/server_table.cpp
+++ b/libs/core/src/forward/server_table.cpp
@@ -119,9 +119,12 @@
         return 1 + std::min(expectedRequests(settings, entry), static_cast<double>(requirements.slots));
     }
 
-    bool isHome(const server_entry& entry, const server_requirements& requirements)
+    first_part firstPartAt(const server_entry& entry, const server_requirements& requirements)
     {
-        return requirements.homes != nullptr && requirements.homes->contains(entry.record.backend);
+        if (requirements.homes == nullptr) {
+            return first_part::Unknown;
+        }
+        return requirements.homes->contains(entry.record.backend) ? first_part::Kept : first_part::Displaced;
     }
 
     double timeCostMs(const server_table& table, const server_entry& entry, time_point now)
@@ -199,7 +202,7 @@
             cost += requirements.knowsLoad ? settings.sharedOtherDomainMs : settings.otherDomainMs;
         }
         if (requirements.isEngine && requirements.parts != nullptr) {
-            const auto uncached = uncachedTokens(entry.promptCache, requirements.model, *requirements.parts, isHome(entry, requirements));
+            const auto uncached = uncachedTokens(entry.promptCache, requirements.model, *requirements.parts, firstPartAt(entry, requirements));
             cost += static_cast<double>(uncached) / settings.promptTokensPerMs * delayedRequests(settings, entry, requirements);
         }
         cost += timeCostMs(table, entry, now);
@@ -337,21 +340,21 @@
     }
 }
 
-std::int64_t uncachedTokens(
-    const prompt_cache_estimate& cache, const std::string& model, const std::vector<prompt_part>& parts, bool isHome)
+std::int64_t uncachedTokens(const prompt_cache_estimate& cache, const std::string& model,
+    const std::vector<prompt_part>& parts, first_part first)
 {
+    const auto isKnown = [&](std::size_t index) { return index < parts.size() && cache.parts.contains(keyOf(model, parts[index].id)); };
+    const bool isFirstKept = first == first_part::Kept || (first == first_part::Displaced ? isKnown(1) : isKnown(0));
     std::int64_t missing = 0;
     bool isPrefixCached = true;
-    for (const auto& part : parts) {
-        const bool isKept = isHome && &part == &parts.front();
-        if (isKept) {
-            continue;
-        }
-        const auto found = isPrefixCached ? cache.parts.find(keyOf(model, part.id)) : cache.parts.end();
-        if (found == cache.parts.end()) {
-            isPrefixCached = false;
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        const auto& part = parts[i];
+        const auto found = cache.parts.find(keyOf(model, part.id));
+        const bool isCached = i == 0 ? isFirstKept : found != cache.parts.end();
+        isPrefixCached = isPrefixCached && isCached;
+        if (!isPrefixCached) {
             missing += part.tokens;
-        } else {
+        } else if (found != cache.parts.end()) {
             missing += std::max<std::int64_t>(part.tokens - found->second.tokens, 0);
         }
     }
