--- a/libs/core/tests/test_load_board.cpp
+++ b/libs/core/tests/test_load_board.cpp
@@ -96,7 +96,7 @@
     poll.serverTimes = { { "e0", 160ms }, { "e1", 170ms }, { "e2", 165ms }, { "e3", 360ms } };
     recordReport(board, "g1", poll, start);
     const auto times = unusualTimes(board);
-    REQUIRE(times.size() >= 1);
+    REQUIRE_FALSE(times.empty());
     CHECK(times.back().server == "e3");
     CHECK(times.back().time == 360ms);
 }
--- a/libs/core/tests/test_prefix_placement.cpp
+++ b/libs/core/tests/test_prefix_placement.cpp
@@ -58,7 +58,7 @@
     const auto homes = placePrefixes(makeWeights(std::vector<double>(30, 1.0)), makeEngines(4), {});
     REQUIRE(homes.size() == 30);
     for (const auto& [prefix, engines] : homes) {
-        CHECK(engines.size() >= 1);
+        CHECK_FALSE(engines.empty());
         CHECK(engines.size() <= 2);
     }
 }
