Forwarding: one place that counts a send, one test of which servers take new work, an average that names no unit

A hedge repeated the bookkeeping of a first send and left out its count against the server's allowance; sendTo() now does all of it for both. The list of engines in use repeated the conditions of isEligible(); both call takesNewWork(). refuseProgram() looked up a load that its caller holds. measured_time also held numbers of events, so it is moving_average with a value now.

Behaviour is the same but for that count, which only matters for a server that limits its requests later.

--- a/libs/core/include/core/forward/room_queue.hpp
+++ b/libs/core/include/core/forward/room_queue.hpp
@@ -49,7 +49,7 @@
 struct room_queue {
     std::set<waiting_call> calls;
     std::map<exchange_id, waiting_call> byExchange;
-    measured_time wait; ///< of the calls that were sent lately
+    moving_average wait; ///< of the calls that were sent lately
 };
 
 void enqueue(room_queue& queue, const waiting_call& call);
--- a/libs/core/include/core/forward/server_table.hpp
+++ b/libs/core/include/core/forward/server_table.hpp
@@ -42,7 +42,7 @@
     time_point avoidUntil {}; ///< after a failure: other servers are preferred until then
     prompt_cache_estimate promptCache;
     request_allowance allowance;
-    measured_time time; ///< of requests at the server
+    moving_average time; ///< of requests at the server
     std::uint32_t othersInFlight = 0; ///< requests of the other gateways under way, as the controllers last said
     std::uint32_t sentSinceReport = 0; ///< requests that this gateway has sent since then
 };
@@ -124,6 +124,9 @@
 std::optional<std::string> chooseServer(
     const server_table& table, const server_requirements& requirements, time_point now, std::mt19937_64& random);
 
+/// @return whether the server is announced, is not draining, and lies in no evacuated failure domain.
+bool takesNewWork(const server_table& table, const server_entry& entry);
+
 /// @return whether any server may take the request, if each had room.
 bool hasEligibleServer(const server_table& table, const server_requirements& requirements, time_point now);
 
--- a/libs/core/include/core/forward/server_times.hpp
+++ b/libs/core/include/core/forward/server_times.hpp
@@ -27,25 +27,25 @@
 };
 
 /// A moving average.
-struct measured_time {
-    double milliseconds = 0;
+struct moving_average {
+    double value = 0;
     std::uint32_t samples = 0; ///< saturates
     time_point at {}; ///< of the newest sample
 };
 
 /// Adds a sample. @param weight of the newest one once there are many, from 0 to 1.
-void addSample(measured_time& time, double milliseconds, double weight, time_point now);
+void addSample(moving_average& average, double sample, double weight, time_point now);
 
 /// @return how long a request is expected to last at the server, in milliseconds.
 /// @param serviceMean of all servers of the service.
-double expectedMs(const measured_time& time, double serviceMean, const time_settings& settings, time_point now);
+double expectedMs(const moving_average& time, double serviceMean, const time_settings& settings, time_point now);
 
 /// What a gateway learns of a service.
 struct service_times {
-    measured_time request; ///< as compared between servers: of a plain request, or of a stream of a typical number of events
-    measured_time events; ///< number of events of a stream
-    measured_time occupancy; ///< from the send to the end of the answer
-    std::map<std::string, measured_time> routes; ///< of plain requests, by route
+    moving_average request; ///< milliseconds, as compared between servers: of a plain request, or of a stream of a typical number of events
+    moving_average events; ///< number of events of a stream
+    moving_average occupancy; ///< milliseconds from the send to the end of the answer
+    std::map<std::string, moving_average> routes; ///< milliseconds of plain requests, by route
 };
 
 /// Estimates how long a stream of a typical number of events lasts at the server that sent this one.
--- a/libs/core/src/forward/attempts.cpp
+++ b/libs/core/src/forward/attempts.cpp
@@ -86,16 +86,8 @@
         call.serverAddress = server.record.address;
         call.softwareVersion = server.record.softwareVersion;
         call.serverIncarnation = server.record.incarnation;
-        call.triedServers.insert(call.server);
-        call.upstream = "u" + std::to_string(c.state.nextUpstream++);
         call.step = call_step::Run;
-        ++call.sends;
-        ++call.possibleRuns; // decremented in onRequestNotRun()
-        ++c.state.counters.sends;
-        c.state.callByUpstream[call.upstream] = call.exchange;
-        recordRequestSent(c.state.servers, call.server);
-        recordSendToServer(c, call.server);
-        sendTo(c, call, server, call.upstream);
+        call.upstream = sendTo(c, call, server);
         planHedge(c, call);
         if (call.isCallerBlocked) {
             c.out.emplace_back(pause_upstream { call.upstream });
@@ -166,7 +158,7 @@
     }
     const auto server = selectServerWithRoom(c, call, requirements);
     if (!server && requirements.needsRoom && hasEligibleServer(c.state.servers, requirements, c.now)) {
-        awaitRoom(c, call);
+        awaitRoom(c, call, requirements);
         return;
     }
     stopAwaitingRoom(c, call);
@@ -188,8 +180,17 @@
     return chooseServer(c.state.servers, describeRequirements(c, call), c.now, c.random);
 }
 
-void sendTo(context& c, const forward_call& call, const server_entry& server, const std::string& upstream)
+std::string sendTo(context& c, forward_call& call, const server_entry& server)
 {
+    const auto& id = server.record.backend;
+    auto upstream = "u" + std::to_string(c.state.nextUpstream++);
+    call.triedServers.insert(id);
+    ++call.sends;
+    ++call.possibleRuns; // until it is known that the server has not run it
+    ++c.state.counters.sends;
+    c.state.callByUpstream[upstream] = call.exchange;
+    recordRequestSent(c.state.servers, id);
+    recordSendToServer(c, id);
     const auto& request = call.request;
     forward_upstream effect;
     effect.request = upstream;
@@ -208,6 +209,7 @@
         logResumption(c, call, effect.lastEvent);
     }
     c.out.emplace_back(std::move(effect));
+    return upstream;
 }
 
 void resumeStream(context& c, forward_call& call)
--- a/libs/core/src/forward/attempts.hpp
+++ b/libs/core/src/forward/attempts.hpp
@@ -17,8 +17,8 @@
 /// @return a server that the call was not sent to, or none.
 std::optional<std::string> chooseUntriedServer(context& c, const forward_call& call);
 
-/// Passes the request on to the server, as the upstream request of this id.
-void sendTo(context& c, const forward_call& call, const server_entry& server, const std::string& upstream);
+/// Passes the request on to the server and counts the send. @return the id of the upstream request.
+std::string sendTo(context& c, forward_call& call, const server_entry& server);
 
 /// @return whether the call may be sent again although it may have run already.
 bool canRunAgain(const context& c, const forward_call& call);
--- a/libs/core/src/forward/dump.cpp
+++ b/libs/core/src/forward/dump.cpp
@@ -20,7 +20,7 @@
             server["gone"] = entry.isGone;
             server["in_flight"] = entry.inFlight;
             server["others_in_flight"] = entry.othersInFlight;
-            server["request_ms"] = entry.time.milliseconds;
+            server["request_ms"] = entry.time.value;
             server["failures"] = entry.failures;
             server["avoided"] = c.now < entry.avoidUntil;
             server["requests_per_s"] = entry.allowance.isLimited ? Json::Value(entry.allowance.requestsPerSecond) : Json::Value();
@@ -36,14 +36,14 @@
         for (const auto& [name, times] : c.state.servers.times) {
             Json::Value service(Json::objectValue);
             service["service"] = name;
-            service["request_ms"] = times.request.milliseconds;
-            service["stream_events"] = times.events.milliseconds;
+            service["request_ms"] = times.request.value;
+            service["stream_events"] = times.events.value;
             const auto load = c.state.room.loads.find(name);
             service["load"] = load == c.state.room.loads.end() ? Json::Value() : Json::Value(load->second);
             const auto queue = c.state.room.queues.find(name);
             const bool isKnown = queue != c.state.room.queues.end();
             service["waiting"] = Json::UInt64(isKnown ? queue->second.calls.size() : 0);
-            service["wait_ms"] = isKnown ? queue->second.wait.milliseconds : 0;
+            service["wait_ms"] = isKnown ? queue->second.wait.value : 0;
             services.append(service);
         }
         return services;
--- a/libs/core/src/forward/engine_room.cpp
+++ b/libs/core/src/forward/engine_room.cpp
@@ -37,9 +37,7 @@
     {
         std::vector<std::string> engines;
         for (const auto& [id, entry] : c.state.servers.servers) {
-            const bool isInUse = entry.record.service == service && !entry.isGone && !entry.record.draining
-                && !c.state.servers.evacuatedDomains.contains(entry.record.failureDomain);
-            if (isInUse) {
+            if (entry.record.service == service && takesNewWork(c.state.servers, entry)) {
                 engines.push_back(id);
             }
         }
@@ -79,7 +77,7 @@
     double occupancyMs(const context& c, const std::string& service)
     {
         const auto times = c.state.servers.times.find(service);
-        return times == c.state.servers.times.end() ? 0 : times->second.occupancy.milliseconds;
+        return times == c.state.servers.times.end() ? 0 : times->second.occupancy.value;
     }
 
     time_point dueOf(const forward_call& call)
@@ -99,7 +97,7 @@
     }
 
     /// @return whether the call was refused because its program would begin too late.
-    bool refuseProgram(context& c, forward_call& call, const room_queue& queue)
+    bool refuseProgram(context& c, forward_call& call, const room_queue& queue, double load)
     {
         const auto& settings = c.state.settings;
         const auto latencyTarget = call.route.latencyTarget;
@@ -107,9 +105,7 @@
             return false;
         }
         const auto running = runningRequests(c, call.service);
-        const auto load = c.state.room.loads.find(call.service);
-        const auto wait = predictWait(queue, room_rank::New, running, occupancyMs(c, call.service),
-            load == c.state.room.loads.end() ? 0 : load->second, settings.roomQueue, c.now);
+        const auto wait = predictWait(queue, room_rank::New, running, occupancyMs(c, call.service), load, settings.roomQueue, c.now);
         if (static_cast<double>(wait.count()) <= settings.roomQueue.maxFirstWait * static_cast<double>(latencyTarget.count())) {
             return false;
         }
@@ -128,8 +124,8 @@
     {
         auto& ofRoute = times.routes[call.route.name];
         addSample(ofRoute, milliseconds, settings.serviceWeight, now);
-        const bool isKnown = times.request.samples > 0 && ofRoute.milliseconds > 0;
-        return isKnown ? milliseconds * times.request.milliseconds / ofRoute.milliseconds : milliseconds;
+        const bool isKnown = times.request.samples > 0 && ofRoute.value > 0;
+        return isKnown ? milliseconds * times.request.value / ofRoute.value : milliseconds;
     }
 
 } // namespace
@@ -145,7 +141,7 @@
             poll.serverRequests.push_back({ id, entry.inFlight });
         }
         if (c.state.room.measured.contains(id)) {
-            poll.serverTimes.push_back({ id, std::chrono::milliseconds(static_cast<std::int64_t>(entry.time.milliseconds)) });
+            poll.serverTimes.push_back({ id, std::chrono::milliseconds(static_cast<std::int64_t>(entry.time.value)) });
         }
     }
     for (const auto& [service, queue] : c.state.room.queues) {
@@ -218,14 +214,14 @@
 
 bool refuseIfOverloaded(context& c, forward_call& call, const server_requirements& requirements)
 {
-    const bool isFull = requirements.knowsLoad && requirements.needsRoom && requirements.load > 1;
-    return isFull && refuseProgram(c, call, c.state.room.queues[call.service]);
+    const bool isOverloaded = requirements.needsRoom && requirements.load > 1;
+    return isOverloaded && refuseProgram(c, call, c.state.room.queues[call.service], requirements.load);
 }
 
-void awaitRoom(context& c, forward_call& call)
+void awaitRoom(context& c, forward_call& call, const server_requirements& requirements)
 {
     auto& queue = c.state.room.queues[call.service];
-    if (queue.byExchange.contains(call.exchange) || refuseProgram(c, call, queue)) {
+    if (queue.byExchange.contains(call.exchange) || refuseProgram(c, call, queue, requirements.load)) {
         return;
     }
     call.step = call_step::Room;
--- a/libs/core/src/forward/engine_room.hpp
+++ b/libs/core/src/forward/engine_room.hpp
@@ -23,7 +23,7 @@
 
 /// Holds the call until an engine has room. The first call of a program is refused instead if that would take too long, so
 /// the call may be gone afterwards.
-void awaitRoom(context& c, forward_call& call);
+void awaitRoom(context& c, forward_call& call, const server_requirements& requirements);
 
 /// Ends the wait of the call, which is sent to a server or refused now.
 void stopAwaitingRoom(context& c, forward_call& call);
--- a/libs/core/src/forward/hedges.cpp
+++ b/libs/core/src/forward/hedges.cpp
@@ -53,20 +53,13 @@
             ++c.state.hedging.counters.withoutBudget;
             return;
         }
-        call.hedge = { "u" + std::to_string(c.state.nextUpstream++), server->record.backend, server->record.address,
-            server->record.incarnation, c.now };
-        call.triedServers.insert(call.hedge.server);
-        ++call.sends;
-        ++call.possibleRuns;
-        ++c.state.counters.sends;
+        const auto& record = server->record;
+        call.hedge = { sendTo(c, call, *server), record.backend, record.address, record.incarnation, c.now };
         ++c.state.hedging.counters.sent;
         count(c, "forward_hedges_total");
-        c.state.callByUpstream[call.hedge.upstream] = call.exchange;
-        recordRequestSent(c.state.servers, call.hedge.server);
         logCall(c, log_level::Info, "request_hedged", call,
             { { "first_server", call.server }, { "server", call.hedge.server },
                 { "after_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(c.now - call.sentAt).count()) } });
-        sendTo(c, call, *server, call.hedge.upstream);
     }
 
     void releaseHedge(context& c, forward_call& call, bool hasFailed)
@@ -76,15 +69,21 @@
         call.hedge = {};
     }
 
+    /// Exchanges the call's server and that of its hedge.
+    void swapServers(forward_call& call)
+    {
+        std::swap(call.server, call.hedge.server);
+        std::swap(call.serverAddress, call.hedge.address);
+        std::swap(call.serverIncarnation, call.hedge.incarnation);
+    }
+
     /// Makes the hedge the call's only send.
     void adoptHedge(forward_call& call)
     {
-        const auto adopted = std::exchange(call.hedge, {});
-        call.upstream = adopted.upstream;
-        call.server = adopted.server;
-        call.serverAddress = adopted.address;
-        call.serverIncarnation = adopted.incarnation;
-        call.sentAt = adopted.sentAt;
+        swapServers(call);
+        call.upstream = call.hedge.upstream;
+        call.sentAt = call.hedge.sentAt;
+        call.hedge = {};
     }
 
 } // namespace
@@ -152,13 +151,9 @@
     } else {
         ++c.state.counters.lost;
         // The suspicion names the server of the hedge.
-        std::swap(call.server, call.hedge.server);
-        std::swap(call.serverAddress, call.hedge.address);
-        std::swap(call.serverIncarnation, call.hedge.incarnation);
+        swapServers(call);
         suspectCrash(c, call);
-        std::swap(call.server, call.hedge.server);
-        std::swap(call.serverAddress, call.hedge.address);
-        std::swap(call.serverIncarnation, call.hedge.incarnation);
+        swapServers(call);
     }
     releaseHedge(c, call, true);
 }
--- a/libs/core/src/forward/room_queue.cpp
+++ b/libs/core/src/forward/room_queue.cpp
@@ -33,7 +33,7 @@
     const auto ahead = std::count_if(queue.calls.begin(), queue.calls.end(), [rank](const auto& call) { return call.rank <= rank; });
     const double byQueue = static_cast<double>(ahead) * requestMs / std::max<std::uint32_t>(running, 1);
     const auto age = std::chrono::duration<double>(now - queue.wait.at) / std::chrono::duration<double>(settings.waitMemory);
-    const double recent = queue.wait.milliseconds * std::exp2(-age);
+    const double recent = queue.wait.value * std::exp2(-age);
     // What the engines hold beyond what they run waits there.
     const double atEngines = std::max(load - 1, 0.0) * requestMs;
     return std::chrono::milliseconds(std::llround(std::max({ byQueue, recent, atEngines })));
--- a/libs/core/src/forward/server_table.cpp
+++ b/libs/core/src/forward/server_table.cpp
@@ -75,9 +75,8 @@
     {
         const auto& record = entry.record;
         const bool isExcluded = requirements.excluded != nullptr && requirements.excluded->contains(record.backend);
-        return record.service == requirements.service && hasVersion(record, requirements.softwareVersion) && !entry.isGone
-            && !record.draining && !isLeaving(table, record) && !isExcluded && maySend(entry.allowance, now)
-            && !table.evacuatedDomains.contains(record.failureDomain);
+        return record.service == requirements.service && hasVersion(record, requirements.softwareVersion)
+            && takesNewWork(table, entry) && !isLeaving(table, record) && !isExcluded && maySend(entry.allowance, now);
     }
 
     /// @return how many requests are expected at an engine whose load the gateways share.
@@ -133,7 +132,7 @@
         if (!table.settings.learnsTimes || times == table.times.end()) {
             return 0;
         }
-        const double mean = times->second.request.milliseconds;
+        const double mean = times->second.request.value;
         return std::max(expectedMs(entry.time, mean, table.timeSettings, now) - mean * table.timeSettings.usualFactor, 0.0);
     }
 
@@ -267,6 +266,11 @@
     return best->record.backend;
 }
 
+bool takesNewWork(const server_table& table, const server_entry& entry)
+{
+    return !entry.isGone && !entry.record.draining && !table.evacuatedDomains.contains(entry.record.failureDomain);
+}
+
 bool hasEligibleServer(const server_table& table, const server_requirements& requirements, time_point now)
 {
     return std::any_of(table.servers.begin(), table.servers.end(),
--- a/libs/core/tests/test_server_times.cpp
+++ b/libs/core/tests/test_server_times.cpp
@@ -16,7 +16,7 @@
 TEST_CASE("A server that is slow again and again is expected to be slow", "[times]")
 {
     const time_settings settings;
-    measured_time time;
+    moving_average time;
     for (int i = 0; i < 10; ++i) {
         addSample(time, 360, settings.newestWeight, now);
     }
@@ -27,7 +27,7 @@
 TEST_CASE("One slow answer makes little difference", "[times]")
 {
     const time_settings settings;
-    measured_time time;
+    moving_average time;
     CHECK(expectedMs(time, 165, settings, now) == Approx(165));
     addSample(time, 400, settings.newestWeight, now);
     CHECK(expectedMs(time, 165, settings, now) == Approx(165)); // too few samples
@@ -42,7 +42,7 @@
 TEST_CASE("What is known of a server is forgotten as it ages", "[times]")
 {
     const time_settings settings;
-    measured_time time;
+    moving_average time;
     for (int i = 0; i < 10; ++i) {
         addSample(time, 365, settings.newestWeight, now);
     }
@@ -58,6 +58,6 @@
     for (int i = 0; i < 200; ++i) {
         streamMs(service, now, now + 180ms, 7, settings);
     }
-    CHECK(service.events.milliseconds == Approx(7).margin(0.05));
+    CHECK(service.events.value == Approx(7).margin(0.05));
     CHECK(streamMs(service, now, now + 300ms, 11, settings) == Approx(30 * 7).margin(5));
 }
