--- a/review/9/case.py
+++ b/review/9/case.py
@@ -5,8 +5,8 @@
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "common-2"))
-from stage import ENGINE, CannotRun, Client, Server, Stage, play, route, service  # noqa: E402
+sys.path.insert(0, str(FOLDER.parent))
+from stage_2 import ENGINE, CannotRun, Client, Server, Stage, play, route, service  # noqa: E402
 
 TURNS = 1010
 TURNS_IN_CALM = 990
@@ -22,7 +22,7 @@
 
 
 async def case(trouble):
-    async with Stage(FOLDER, front_memory_mb=110) as stage:
+    async with Stage(FOLDER / "record.txt", front_memory_mb=110) as stage:
         await stage.configure({
             "routes": [route("chat", "/chat/", "streaming", "models", sticky=True, retain_context=True, gap_aim_ms=250)],
             "services": [service("models", engine=ENGINE)],
